--- /dev/null
+++ b/corklift/__init__.py
@@ -0,0 +1,1 @@
+"""corklift: decisions of a balancer for long-lived connections, and the links that carry them."""
--- /dev/null
+++ b/corklift/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on the simulator's wire: framing, codec, settings; one Balancer an instance."""
--- /dev/null
+++ b/corklift/benchlink/settings.py
@@ -0,0 +1,101 @@
+"""Translates the wire's settings text into the arguments of a Balancer, in our words."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from corklift.interface import ColdRule, Effect, Reach, Tenant, Workload
+
+EFFECTS = {"pure": Effect.REPEATABLE, "token": Effect.TAGGED, "side_effect": Effect.ONCE_ONLY}
+REPORT_FIELDS = {"inflight": "count", "util": "busy"}
+_ABSENT = object()
+
+
+class BadSettings(Exception):
+    """Names the key that is missing or impossible."""
+
+
+def _need(table: dict[str, Any], key: str, where: str, default: Any = _ABSENT) -> Any:
+    if not isinstance(table, dict):
+        raise BadSettings(f"settings: {where or 'top level'} is no table")
+    value = table.get(key, default)
+    if value is _ABSENT:
+        raise BadSettings(f"settings: {where}{key} is missing")
+    return value
+
+
+def _number(table: dict[str, Any], key: str, where: str, default: Any = _ABSENT, least: float = 0) -> Any:
+    value = _need(table, key, where, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value >= least:
+        raise BadSettings(f"settings: {where}{key} holds {value!r}, a number of at least {least} is needed")
+    return value
+
+
+def _workload(item: dict[str, Any], where: str) -> Workload:
+    effect = _need(item, "effect", where, "pure")
+    if effect not in EFFECTS:
+        raise BadSettings(f"settings: {where}effect holds {effect!r}")
+    try:
+        reach = Reach(_need(item, "group", where, "all"))
+    except ValueError:
+        raise BadSettings(f"settings: {where}group holds {item['group']!r}") from None
+    return Workload(
+        name=str(_need(item, "name", where, "")),
+        importance=_number(item, "importance", where, 1.0),
+        soft_limit=int(_number(item, "soft-limit-ns", where, least=1)),
+        time_limit=int(_number(item, "time-limit-ns", where, least=1)),
+        effect=EFFECTS[effect],
+        reach=reach,
+        dedup_window=int(_number(item, "dedup-window-ns", where, 0)),
+    )
+
+
+def translate(text: bytes) -> tuple[dict[str, Any], tuple[str | None, ...]]:
+    """The keyword arguments for a Balancer, and our names for the values of a load report."""
+    try:
+        top = json.loads(text)
+    except ValueError as problem:
+        raise BadSettings(f"settings: no JSON text: {problem}") from None
+    rules = _need(top, "rules", "")
+    allow = _need(top, "permissions", "")
+    family = _need(top, "family-info", "", {})
+    items = _need(top, "workloads", "")
+    if not isinstance(items, list) or not items:
+        raise BadSettings("settings: workloads is empty")
+    balancers = int(_number(top, "balancers", "", 1, least=1))
+    names: list[str | None] = []
+    for field in _need(_need(top, "report", "", {}), "fields", "report.", []):
+        if field == "x0" and "over what it can do" in str(family.get("report-x0", "")):
+            names.append("pressure")
+        else:
+            names.append(REPORT_FIELDS.get(field))
+    arguments = dict(
+        zone=int(_number(top, "zone", "", 0)),
+        balancers=balancers,
+        workloads=[_workload(item, f"workloads[{at}].") for at, item in enumerate(items)],
+        tenants=[
+            Tenant(str(item.get("name", "")), _number(item, "share", f"tenants[{at}].", 0),
+                   _number(item, "quota-per-s", f"tenants[{at}].", 0))
+            for at, item in enumerate(_need(top, "tenants", "", []))
+        ],
+        per_work=_need(top, "importance-per", "", "request") == "work",
+        cold=ColdRule(
+            start_share=_number(rules, "cold-from", "rules.", 0.3),
+            ramp=int(_number(rules, "ramp-time-ns", "rules.", 0)),
+            multiple=_number(rules, "fall-multiple", "rules.", 2.0),
+            span=int(_number(rules, "fall-ns", "rules.", 1_000_000_000)),
+        ),
+        answer_slack=int(_number(rules, "answer-slack-ns", "rules.", 0)),
+        max_hand_offs=int(_number(allow, "max-hand-offs", "permissions.", 1, least=1)),
+        connect_limit=int(_number(allow, "connect-timeout-ns", "permissions.", 0)),
+        max_retry_after=int(_number(allow, "max-retry-after-ns", "permissions.", 0))
+        if _need(allow, "retry-after", "permissions.", False) else 0,
+        probes_allowed=bool(_need(allow, "probes", "permissions.", False)),
+        ask_for_list=_need(top, "discovery", "", "pushed") == "on_request",
+        ask_within=int(_number(rules, "ask-within-ns", "rules.", 10_000_000_000)),
+        grouped=bool(_need(family, "groups", "family-info.", False)),
+        weight_varies=_need(top, "weight-source", "", "none") == "live",
+        memory=int(_number(family, "park-ns", "family-info.", 0)),
+    )
+    return arguments, tuple(names)
--- /dev/null
+++ b/corklift/policy.py
@@ -0,0 +1,738 @@
+"""Every decision of corklift, for every deployment.
+
+How to call it: make one `Balancer` an instance, with a `Host` to act on, a `random.Random` of its own and the
+settings in our words; then call the method named for each thing that happens, with the host's clock. All
+actions are calls on the host, made before the method returns. The interface stands in `corklift/interface.py`.
+
+The ordinary path is the design's: each ready server is probed for its open-connection count about once a
+second at a random phase, and a login's server is drawn with chance proportional to 1/(count + 1), own
+placements since added. `docs/design.md` lists each departure and when it acts.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+from corklift.interface import (ColdRule, Effect, Host, Listed, Login, NoteKind, Outcome, Reach, Report, Scope,
+                                Status, Tenant, Workload)
+
+SECOND = 1_000_000_000
+PROBE_PERIOD = SECOND  # the design's "about once a second"
+AGE_LIMIT = 3 * PROBE_PERIOD  # the design's 3 s: a count older than this leaves the draw
+REPORT_LAG = PROBE_PERIOD  # a report may miss placements made this long before it came
+ROOM = 0.7  # of what a server can do: beyond it a server gets nothing new while others have room
+HOT = 0.85  # of what a server can do: beyond it connections are moved away
+EVEN = 1.15  # times the fleet's mean pressure: a fleet that is full all over has no hot server
+MOVE_REST = 5 * PROBE_PERIOD // 2  # until a move shows in the reports
+MOVE_PART = 0.5  # of the excess that goes in one step, each balancer its own part of it
+GROUP_SPREAD = 1.5  # times a group's share of the load: the part of the fleet's power that it may spread over
+FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
+SILENT_IN_ROW = 3  # unanswered probes or connects after which a server counts as lost
+COLD_CARE = 0.5  # of the cold budget is used; the rest is for chance and for the others' errors
+FULL_FLEET = 0.9  # mean pressure beyond which surplus logins are bounced
+
+
+class Histogram:
+    """A few coarse bins on a ratio scale, halved from time to time so that old samples fade."""
+
+    RATIO, BINS, HALVE_AT = 1.25, 40, 12.0
+
+    def __init__(self) -> None:
+        self._bins: dict[int, float] = {}
+        self._total = 0.0
+
+    def add(self, value: float) -> None:
+        index, edge = 0, self.RATIO
+        while value > edge and index < self.BINS:
+            index, edge = index + 1, edge * self.RATIO
+        self._bins[index] = self._bins.get(index, 0.0) + 1.0
+        self._total += 1.0
+        if self._total >= self.HALVE_AT:
+            self._bins = {at: held / 2 for at, held in self._bins.items() if held > 0.1}
+            self._total = sum(self._bins.values())
+
+    def mean(self) -> float | None:
+        if not self._total:
+            return None
+        return sum(held * self.RATIO ** (at + 0.5) for at, held in self._bins.items()) / self._total
+
+
+class Server:
+    """What this balancer knows of one server."""
+
+    def __init__(self, line: Listed, now: int) -> None:
+        self.id = line.server
+        self.zone, self.kind, self.cell, self.weight = line.zone, line.kind, line.cell, line.weight
+        self.status = line.status
+        self.listed_at = now
+        self.started_at = line.started_at
+        self.count: float | None = None
+        self.pressure: float | None = None
+        self.read_at = 0  # when the last report came; 0: none yet
+        self.placed: dict[int, tuple[int, float]] = {}  # own placements a report may not hold yet
+        self.open: dict[int, Held] = {}  # own connections
+        self.capacity = Histogram()  # connections that would fill it
+        self.power = 1.0  # against the fleet's mean
+        self.fails = 0
+        self.bars = 0
+        self.barred_until = 0
+        self.trial = 0
+        self.silent = 0
+        self.full_until = 0
+        self.probing = 0
+        self.cold_spent = 0.0
+        self.cold_at = 0
+        self.rest_until = 0
+
+
+class Attempt:
+    __slots__ = ("server", "sent_at", "outcome")
+
+    def __init__(self, server: int, sent_at: int) -> None:
+        self.server, self.sent_at = server, sent_at
+        self.outcome: Outcome | None = None
+
+
+class Held:
+    """A login this balancer answers for, or the connection it became."""
+
+    __slots__ = ("login", "attempts", "is_open", "load", "surplus")
+
+    def __init__(self, login: Login, load: float) -> None:
+        self.login, self.load = login, load
+        self.attempts: list[Attempt] = []
+        self.is_open = False
+        self.surplus = False
+
+
+class Roster:
+    """The servers as the list tells of them."""
+
+    def __init__(self) -> None:
+        self.servers: dict[int, Server] = {}
+        self.ready: list[Server] = []
+
+    def apply(self, now: int, scope: Scope, lines: Iterable[Listed]) -> tuple[list[Server], list[Server]]:
+        """Takes the list in; returns (started, left): servers new or restarted, servers draining or gone."""
+        started, left, named = [], [], {}
+        for line in lines:
+            named[line.server] = True
+            server = self.servers.get(line.server)
+            if server is None:
+                if line.status is Status.GONE:
+                    continue
+                server = self.servers[line.server] = Server(line, now)
+                if line.status is Status.READY:
+                    started.append(server)
+                continue
+            server.weight = line.weight
+            if line.status is Status.READY and (line.started_at > server.started_at
+                                                or server.status is not Status.READY):
+                server.started_at = max(server.started_at, line.started_at)
+                server.listed_at = now
+                server.read_at, server.count, server.pressure = 0, None, None
+                started.append(server)
+            elif line.status is not Status.READY and server.status is Status.READY:
+                left.append(server)
+            server.status = line.status
+        if scope is not Scope.DELTA:
+            for server in self.servers.values():
+                if server.id not in named and server.status is not Status.GONE:
+                    if server.status is Status.READY:
+                        left.append(server)
+                    server.status = Status.GONE
+        self.ready = [server for server in self.servers.values() if server.status is Status.READY]
+        for server in [s for s in self.servers.values() if s.status is Status.GONE and not s.open]:
+            del self.servers[server.id]
+        return started, left
+
+
+class Counts:
+    """Reported counts and pressures, their age, and each server's power."""
+
+    def __init__(self, roster: Roster, balancers: int, weight_varies: bool) -> None:
+        self._roster = roster
+        self._balancers = balancers
+        self._weight_varies = weight_varies
+        self._kinds: dict[int, Histogram] = {}
+        self.typical = 1.0  # connections that fill a server of mean power
+        self.mean_pressure = 0.0
+
+    def take(self, now: int, server: Server, report: Report) -> None:
+        server.count, server.pressure = report.count, report.pressure
+        if report.pressure is None:
+            server.pressure = report.busy
+        server.read_at = now
+        horizon = now - REPORT_LAG
+        for login in [login for login, (at, _) in server.placed.items() if at <= horizon]:
+            del server.placed[login]
+        if server.count and server.pressure and server.count >= 4 and server.pressure > 0.04:
+            size = server.count / server.pressure
+            server.capacity.add(size)
+            self._kinds.setdefault(server.kind, Histogram()).add(size)
+        self._weigh(now)
+
+    def _weigh(self, now: int) -> None:
+        ready = self._roster.ready
+        sizes = [size for size in map(self.capacity, ready) if size is not None]
+        self.typical = sum(sizes) / len(sizes) if sizes else 1.0
+        weights = [server.weight for server in ready if server.weight > 0]
+        mean_weight = sum(weights) / len(weights) if weights else 1.0
+        asked = power = 0.0
+        for server in ready:
+            size = self.capacity(server)
+            if size is not None:
+                server.power = size / self.typical
+            elif server.weight > 0 and not self._weight_varies:
+                server.power = server.weight / mean_weight
+            if server.pressure is not None and self.fresh(now, server):
+                asked += server.pressure * server.power
+                power += server.power
+        self.mean_pressure = asked / power if power else 0.0
+
+    def capacity(self, server: Server) -> float | None:
+        size = server.capacity.mean()
+        if size is None and server.kind in self._kinds:
+            size = self._kinds[server.kind].mean()
+        return size
+
+    def fresh(self, now: int, server: Server) -> bool:
+        """Ageing: a server unheard of for the age limit is dropped; a new one is given as long to answer."""
+        return now - (server.read_at or server.listed_at) <= AGE_LIMIT
+
+    def since(self, server: Server) -> float:
+        return sum(load for _, load in server.placed.values())
+
+    def projected(self, server: Server) -> float | None:
+        """Pressure with own placements since added."""
+        if server.pressure is None:
+            return None
+        size = self.capacity(server)
+        return server.pressure + (self.since(server) / size if size else 0.0)
+
+    def per_power(self, server: Server, mean: float) -> float:
+        """Connections of like cost a unit of power: the design's count for servers and logins unlike each other."""
+        if server.pressure is not None:
+            known = server.pressure * self.typical
+        elif server.count is not None:
+            known = server.count / server.power
+        else:
+            known = max(mean, len(server.open) * self._balancers / server.power)
+        return known + self.since(server) / server.power
+
+    def mean_per_power(self, servers: list[Server]) -> float:
+        known = [self.per_power(server, 0.0) for server in servers if server.count is not None]
+        return sum(known) / len(known) if known else 0.0
+
+
+class Health:
+    """Failures in a row take a server out of the draw; probes or one trial login bring it back."""
+
+    def __init__(self, host: Host, rng: Random) -> None:
+        self._host = host
+        self._rng = rng
+
+    def in_draw(self, now: int, server: Server) -> bool:
+        if server.silent >= SILENT_IN_ROW - 1:
+            return False
+        return server.fails < FAILS_IN_ROW or (now >= server.barred_until and not server.trial)
+
+    def drawn(self, server: Server, login: int) -> None:
+        if server.fails >= FAILS_IN_ROW:
+            server.trial = login
+
+    def failed(self, now: int, server: Server, login: int, outcome: Outcome) -> None:
+        if server.trial == login:
+            server.trial = 0
+        if outcome is Outcome.NOT_CONNECTED:
+            server.silent += 1
+        server.fails += 1
+        if server.fails >= FAILS_IN_ROW:
+            server.bars = min(server.bars + 1, 3)
+            server.barred_until = now + int(PROBE_PERIOD * (1 << server.bars) * self._rng.uniform(0.75, 1.25))
+            if server.fails == FAILS_IN_ROW:
+                self._host.log(f"server {server.id} out of the draw: {server.fails} hand-offs failed in a row")
+
+    def worked(self, server: Server, login: int) -> None:
+        if server.fails >= FAILS_IN_ROW:
+            self._host.log(f"server {server.id} back in the draw: its trial login was set up")
+        if server.trial == login:
+            server.trial = 0
+        elif server.bars and server.fails == 0:
+            server.bars -= 1
+        server.fails = server.silent = 0
+
+
+class ColdBudget:
+    """This balancer's part of what a server that just started may be sent."""
+
+    def __init__(self, rule: ColdRule, balancers: int, counts: Counts) -> None:
+        self._rule = rule
+        self._share = COLD_CARE / balancers
+        self._counts = counts
+
+    def is_cold(self, now: int, server: Server) -> bool:
+        return bool(server.started_at) and now - server.started_at < self._rule.ramp
+
+    def _part(self, now: int, server: Server) -> float:
+        age = max(0, now - server.started_at) / max(1, self._rule.ramp)
+        return min(1.0, self._rule.start_share + (1 - self._rule.start_share) * age)
+
+    def _refill(self, now: int, server: Server) -> float:
+        """Drains what was spent at the rate the server can take; returns the most that may stand."""
+        size = self._counts.capacity(server) or self._rule.ramp / self._rule.span
+        rate = self._rule.multiple * self._part(now, server) * size / max(1, self._rule.ramp) * self._share
+        server.cold_spent = max(0.0, server.cold_spent - rate * (now - server.cold_at))
+        server.cold_at = now
+        return max(1.0, rate * self._rule.span)
+
+    def allows(self, now: int, server: Server, load: float) -> bool:
+        if not self.is_cold(now, server):
+            return True
+        most = self._refill(now, server)
+        return server.cold_spent + min(load, most) <= most + 1e-9
+
+    def spend(self, now: int, server: Server, load: float) -> None:
+        if self.is_cold(now, server):
+            self._refill(now, server)
+            server.cold_spent += max(1.0, load)
+
+
+class Draw:
+    """The design's random draw, and the narrowing of who takes part in it."""
+
+    def __init__(self, rng: Random, roster: Roster, counts: Counts, health: Health, cold: ColdBudget,
+                 grouped: bool) -> None:
+        self._rng = rng
+        self._roster = roster
+        self._counts = counts
+        self._health = health
+        self._cold = cold
+        self._grouped = grouped
+        self.group_load: dict[int, float] = {}  # own open connections of each group
+        self.total_load = 0.0
+
+    def room_limit(self) -> float:
+        return max(ROOM, EVEN * self._counts.mean_pressure)
+
+    def has_room(self, now: int, server: Server) -> bool:
+        if now < server.full_until:
+            return False
+        pressure = self._counts.projected(server)
+        return pressure is None or pressure < self.room_limit()
+
+    def pick(self, now: int, held: Held, allowed: Callable[[Server], bool]) -> Server | None:
+        tried = [attempt.server for attempt in held.attempts]
+        able = [s for s in self._roster.ready if allowed(s) and self._cold.allows(now, s, held.load)]
+        if not able:
+            return None
+        untried = [s for s in able if s.id not in tried] or able
+        well = [s for s in untried if self._health.in_draw(now, s)] or untried
+        fresh = [s for s in well if self._counts.fresh(now, s)]
+        if not any(server.count is not None for server in fresh):
+            # None has a count, or all would be dropped: the design's even draw over ready servers.
+            return self._rng.choice(well)
+        roomy = [s for s in fresh if self.has_room(now, s)] or fresh
+        if self._grouped and held.login.group:
+            roomy = self._holders(held.login.group, roomy)
+        return self._weighted(roomy)
+
+    def _weighted(self, servers: list[Server]) -> Server:
+        if len(servers) == 1:
+            return servers[0]
+        mean = self._counts.mean_per_power(self._roster.ready)
+        weights = [s.power / (self._counts.per_power(s, mean) + 1.0) for s in servers]
+        return self._rng.choices(servers, weights)[0]
+
+    def _holders(self, group: int, servers: list[Server]) -> list[Server]:
+        """The servers that should hold a group: so many, in the group's own order, as its load needs.
+
+        The order comes from the ids alone, so balancers that never speak choose the same servers.
+        """
+        share = self.group_load.get(group, 0.0) / self.total_load if self.total_load else 0.0
+        need = share * GROUP_SPREAD * sum(server.power for server in self._roster.ready)
+        chosen: list[Server] = []
+        for server in sorted(servers, key=lambda s: _rank(group, s.id)):
+            chosen.append(server)
+            need -= server.power
+            if need <= 0:
+                break
+        return chosen
+
+    def count_group(self, held: Held, sign: int) -> None:
+        group = held.login.group
+        self.total_load += sign
+        if group:
+            load = self.group_load.get(group, 0.0) + sign
+            if load > 0:
+                self.group_load[group] = load
+            else:
+                self.group_load.pop(group, None)
+
+
+def _rank(group: int, server: int) -> int:
+    value = (group ^ (server * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
+    return value ^ (value >> 31)
+
+
+class Admission:
+    """Bounces what a full fleet cannot serve well: first what lies beyond a tenant's share."""
+
+    def __init__(self, counts: Counts, workloads: list[Workload], tenants: list[Tenant], balancers: int) -> None:
+        self._counts = counts
+        self._workloads = workloads
+        self._rates = [tenant.quota_per_s / balancers for tenant in tenants]
+        self._left = [2.0 * rate for rate in self._rates]
+        self._at = [0] * len(tenants)
+
+    def surplus(self, now: int, login: Login) -> bool:
+        """Whether this login lies beyond its tenant's share of this balancer's part, over about two seconds."""
+        if login.tenant >= len(self._rates) or not self._rates[login.tenant]:
+            return False
+        tenant, rate = login.tenant, self._rates[login.tenant]
+        passed = (now - self._at[tenant]) / SECOND if self._at[tenant] else 0.0
+        self._at[tenant] = now
+        self._left[tenant] = min(2.0 * rate, self._left[tenant] + passed * rate)
+        if self._left[tenant] < 1.0:
+            return True
+        self._left[tenant] -= 1.0
+        return False
+
+    def admits(self, held: Held) -> bool:
+        return not (held.surplus and self._counts.mean_pressure > FULL_FLEET)
+
+
+class HandOffs:
+    """When a login may be sent again, for how long a hand-off may take, and which last answer is honest."""
+
+    def __init__(self, workloads: list[Workload], roster: Roster, max_hand_offs: int) -> None:
+        self._workloads = workloads
+        self._roster = roster
+        self._max = max_hand_offs
+
+    def _may_have_run(self, held: Held) -> list[Attempt]:
+        return [a for a in held.attempts if a.outcome is None or not a.outcome.proves_not_run]
+
+    def may_send(self, now: int, held: Held) -> bool:
+        if len(held.attempts) >= self._max or now >= held.login.time_limit_at:
+            return False
+        workload = self._workloads[held.login.workload]
+        if workload.effect is Effect.REPEATABLE:
+            return True
+        ran = self._may_have_run(held)
+        if not ran:
+            return True
+        # A once-only login that may have run must never run again; a tagged one only while it is remembered.
+        return workload.effect is Effect.TAGGED and now < ran[0].sent_at + workload.dedup_window
+
+    def allowed(self, held: Held) -> Callable[[Server], bool]:
+        workload = self._workloads[held.login.workload]
+        ran = self._may_have_run(held) if workload.effect is Effect.TAGGED else []
+        if not ran or workload.reach is Reach.ALL:
+            return lambda server: True
+        first = self._roster.servers.get(ran[0].server)
+        if first is None:
+            return lambda server: False
+        if workload.reach is Reach.ZONE:
+            return lambda server: server.zone == first.zone
+        return lambda server: server.cell == first.cell
+
+    def may_bounce(self, held: Held) -> bool:
+        workload = self._workloads[held.login.workload]
+        if workload.effect is Effect.REPEATABLE or not self._may_have_run(held):
+            return True
+        return workload.effect is Effect.TAGGED and workload.reach is Reach.ALL
+
+    def cut_at(self, now: int, held: Held) -> int:
+        """Early enough to try elsewhere within the soft limit; the last hand-off has all that is left."""
+        limit = held.login.time_limit_at
+        left = self._max - len(held.attempts)
+        if left <= 1:
+            return limit
+        workload = self._workloads[held.login.workload]
+        return min(limit, now + max(workload.soft_limit // 2, (limit - now) // left))
+
+
+class Moves:
+    """The exception to kept placements: off a lost or draining server, and off a hot one in bounded steps."""
+
+    def __init__(self, host: Host, rng: Random, roster: Roster, counts: Counts) -> None:
+        self._host = host
+        self._rng = rng
+        self._roster = roster
+        self._counts = counts
+
+    def evacuate(self, server: Server, why: str) -> None:
+        if server.open:
+            self._host.log(f"server {server.id} {why}: moving {len(server.open)} connections")
+        for login in list(server.open):
+            self._host.move(login)
+
+    def cool(self, now: int, server: Server) -> None:
+        """Moves this balancer's part of what a hot server has too much, then rests until reports show it."""
+        pressure, mean = server.pressure, self._counts.mean_pressure
+        if pressure is None or now < server.rest_until or not server.open:
+            return
+        if pressure <= max(HOT, EVEN * mean) or mean > ROOM:
+            return
+        target = max(ROOM, mean)
+        part = MOVE_PART * (pressure - target) / pressure
+        own = sorted(server.open.values(), key=lambda held: -held.load)
+        excess = part * sum(held.load for held in own)
+        if self._rng.random() * own[-1].load > excess:
+            return
+        moved = 0
+        for held in own:
+            if excess <= 0:
+                break
+            if held.load <= 2 * excess or held is own[-1]:
+                excess -= held.load
+                self._host.move(held.login.login)
+                moved += 1
+        server.rest_until = now + MOVE_REST
+        self._host.log(f"server {server.id} hot at {pressure:.2f}: moved {moved} of {len(own)}")
+
+
+class ListFollowing:
+    """Keeps a watch on the list where it must be asked for."""
+
+    def __init__(self, host: Host, rng: Random, asked: bool, ask_within: int) -> None:
+        self._host = host
+        self._rng = rng
+        self._asked = asked
+        self._most = ask_within // 4
+        self._failures = 0
+
+    def first_wait(self) -> int | None:
+        return int(self._rng.random() * PROBE_PERIOD) if self._asked else None
+
+    def ask(self) -> None:
+        self._host.watch_list(True)
+
+    def answered(self) -> None:
+        self._failures = 0
+
+    def failed(self) -> int | None:
+        """How long to wait before asking again: spread out, so that balancers don't return together."""
+        if not self._asked:
+            return None
+        self._failures += 1
+        self._host.log(f"list watch failed {self._failures} times in a row")
+        return int(min(self._most, PROBE_PERIOD << min(self._failures - 1, 4)) * self._rng.uniform(0.3, 1.0))
+
+
+class Balancer:
+    """One balancer's decisions. One method for each thing that can happen."""
+
+    def __init__(self, host: Host, rng: Random, *, now: int, zone: int, balancers: int, workloads: list[Workload],
+                 tenants: list[Tenant], per_work: bool, cold: ColdRule, answer_slack: int, max_hand_offs: int,
+                 connect_limit: int, max_retry_after: int, probes_allowed: bool, ask_for_list: bool,
+                 ask_within: int, grouped: bool, weight_varies: bool, memory: int) -> None:
+        self._host = host
+        self._rng = rng
+        self._probes_allowed = probes_allowed
+        self._max_retry_after = max_retry_after
+        self._held: dict[int, Held] = {}
+        self._cost_sum, self._cost_seen = 0.0, 0
+        self._timers: dict[int, Callable[[int], None]] = {}
+        self._next_mark = 1
+        self._roster = Roster()
+        self._counts = Counts(self._roster, balancers, weight_varies)
+        self._health = Health(host, rng)
+        self._cold = ColdBudget(cold, balancers, self._counts)
+        self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped)
+        self._admission = Admission(self._counts, workloads, tenants, balancers)
+        self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
+        self._moves = Moves(host, rng, self._roster, self._counts)
+        self._list = ListFollowing(host, rng, ask_for_list, ask_within)
+        first = self._list.first_wait()
+        if first is not None:
+            self._after(first, lambda _: self._list.ask())
+
+    # Logins
+
+    def login_arrived(self, now: int, login: Login) -> None:
+        held = Held(login, self._like(login.cost))
+        self._held[login.login] = held
+        held.surplus = self._admission.surplus(now, login)
+        if login.mid_flow or self._admission.admits(held):
+            self._place(now, held)
+        else:
+            self._give_up(held)
+
+    def connection_carried(self, now: int, login: Login, server: int) -> None:
+        held = Held(login, self._like(login.cost))
+        attempt = Attempt(server, now)
+        held.attempts.append(attempt)
+        self._held[login.login] = held
+        self._opened(held, server)
+
+    def hand_off_started(self, now: int, login: int, attempt: int, server: int, delay: int) -> None:
+        known = self._roster.servers.get(server)
+        if known is not None:
+            self._health.worked(known, login)
+        held = self._held.get(login)
+        if held is not None and not held.is_open:
+            self._opened(held, server)
+
+    def hand_off_noted(self, now: int, login: int, attempt: int, server: int, kind: NoteKind, value: float) -> None:
+        held = self._held.get(login)
+        if held is not None and kind is NoteKind.LOAD:
+            held.load = self._like(value)
+
+    def hand_off_ended(self, now: int, login: int, closed: bool, server: int, outcome: Outcome, attempt: int,
+                       delay: int, report: Report | None) -> None:
+        known = self._roster.servers.get(server)
+        held = self._held.get(login)
+        if known is not None:
+            if report is not None:
+                self._counts.take(now, known, report)
+            if held is not None and not held.is_open:
+                self._judge(now, known, login, outcome)
+        if held is None:
+            return
+        if attempt < len(held.attempts):
+            held.attempts[attempt].outcome = outcome
+        if closed:
+            self._forget(held)
+            return
+        if known is not None:
+            known.placed.pop(login, None)
+        if held.attempts[-1].outcome is not None:
+            self._place(now, held)
+
+    def login_dropped(self, now: int, login: int) -> None:
+        held = self._held.get(login)
+        if held is not None:
+            last = held.attempts[-1] if held.attempts else None
+            if last is not None and last.outcome is None and not held.is_open:
+                self._host.cancel(login, len(held.attempts) - 1)
+            self._forget(held)
+
+    # Servers
+
+    def probe_answered(self, now: int, server: int, delay: int, outcome: Outcome, report: Report | None) -> None:
+        known = self._roster.servers.get(server)
+        if known is None:
+            return
+        if outcome is Outcome.FULFILLED:
+            if known.silent >= SILENT_IN_ROW:
+                # Guards against pushing over a server that came back cold before the list says so.
+                known.started_at = max(known.started_at, now)
+                self._host.log(f"server {server} answers again: taken as just started")
+            known.silent = 0
+            if report is not None:
+                self._counts.take(now, known, report)
+                self._moves.cool(now, known)
+        elif outcome in (Outcome.TIMED_OUT, Outcome.NOT_CONNECTED, Outcome.BROKEN):
+            known.silent += 1
+            if known.silent < SILENT_IN_ROW and known.status is Status.READY:
+                self._host.probe(server)
+            elif known.silent == SILENT_IN_ROW:
+                self._moves.evacuate(known, "silent")
+
+    def servers_listed(self, now: int, scope: Scope, revision: int, lines: Iterable[Listed]) -> None:
+        if scope is Scope.FAILED:
+            wait = self._list.failed()
+            if wait is not None:
+                self._after(wait, lambda _: self._list.ask())
+            return
+        if scope is not Scope.CACHED:
+            self._list.answered()
+        started, left = self._roster.apply(now, scope, lines)
+        for server in left:
+            self._moves.evacuate(server, "drains" if server.status is Status.DRAINING else "is gone")
+        if self._probes_allowed:
+            for server in started:
+                server.probing += 1
+                self._schedule_probe(server, server.probing, int(self._rng.random() * PROBE_PERIOD))
+
+    def peer_told(self, now: int, peer: int, content: bytes) -> None:
+        """Nothing is said between balancers yet, so nothing is heard."""
+
+    def timer_due(self, now: int, mark: int) -> None:
+        action = self._timers.pop(mark, None)
+        if action is not None:
+            action(now)
+
+    # Inner steps
+
+    def _after(self, wait: int, action: Callable[[int], None]) -> None:
+        mark = self._next_mark
+        self._next_mark += 1
+        self._timers[mark] = action
+        self._host.set_timer(wait, mark)
+
+    def _schedule_probe(self, server: Server, turn: int, wait: int) -> None:
+        def due(now: int) -> None:
+            if server.status is Status.READY and server.probing == turn:
+                self._host.probe(server.id)
+                self._schedule_probe(server, turn, PROBE_PERIOD)
+        self._after(wait, due)
+
+    def _like(self, cost: float | None) -> float:
+        """A login's cost in connections of mean cost; 1 where nothing is told."""
+        if not cost:
+            return 1.0
+        self._cost_sum += cost
+        self._cost_seen += 1
+        return cost * self._cost_seen / self._cost_sum
+
+    def _place(self, now: int, held: Held) -> None:
+        if not self._hand_offs.may_send(now, held):
+            self._give_up(held)
+            return
+        server = self._draw.pick(now, held, self._hand_offs.allowed(held))
+        if server is None:
+            self._give_up(held)
+            return
+        login = held.login.login
+        self._health.drawn(server, login)
+        self._cold.spend(now, server, held.load)
+        server.placed[login] = (now, held.load)
+        cut_at = self._hand_offs.cut_at(now, held)
+        held.attempts.append(Attempt(server.id, now))
+        self._host.hand_off(login, server.id, cut_at)
+
+    def _judge(self, now: int, server: Server, login: int, outcome: Outcome) -> None:
+        if outcome is Outcome.FULL:
+            server.full_until = now + PROBE_PERIOD // 2
+            if server.trial == login:
+                server.trial = 0
+        elif outcome in (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.NOT_CONNECTED, Outcome.BROKEN):
+            self._health.failed(now, server, login, outcome)
+        elif server.trial == login:
+            server.trial = 0
+
+    def _opened(self, held: Held, server: int) -> None:
+        held.is_open = True
+        self._draw.count_group(held, 1)
+        known = self._roster.servers.get(server)
+        if known is not None:
+            known.open[held.login.login] = held
+
+    def _give_up(self, held: Held) -> None:
+        login = held.login.login
+        self._forget(held)
+        if self._hand_offs.may_bounce(held):
+            # The client is told when to come back, spread out; it is never held to keep it away.
+            retry_in = int(self._max_retry_after * self._rng.uniform(0.25, 1.0))
+            self._host.bounce(login, retry_in)
+        else:
+            self._host.terminate(login)
+
+    def _forget(self, held: Held) -> None:
+        login = held.login.login
+        self._held.pop(login, None)
+        if held.is_open:
+            self._draw.count_group(held, -1)
+        for attempt in held.attempts[-1:]:
+            server = self._roster.servers.get(attempt.server)
+            if server is not None:
+                server.placed.pop(login, None)
+                server.open.pop(login, None)
+                if server.trial == login:
+                    server.trial = 0
