--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -30,6 +30,9 @@
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
 SILENT_IN_ROW = 3  # unanswered probes or connects after which a server counts as lost
 COLD_CARE = 0.5  # of the cold budget is used; the rest is for chance and for the others' errors
+FULL = 0.95  # of what a server can do: nothing new beyond it; a fleet with no server under it bounces
+RESEND_PART = 0.3  # resends earned by each login; past failures that may be shared, the rest are bounced
+RESEND_MOST = 10.0  # resends that may be saved up
 FULL_FLEET = 0.9  # mean pressure beyond which surplus logins are bounced
 
 
@@ -41,6 +44,7 @@
     def __init__(self) -> None:
         self._bins: dict[int, float] = {}
         self._total = 0.0
+        self._mean: float | None = None
 
     def add(self, value: float) -> None:
         index, edge = 0, self.RATIO
@@ -51,11 +55,10 @@
         if self._total >= self.HALVE_AT:
             self._bins = {at: held / 2 for at, held in self._bins.items() if held > 0.1}
             self._total = sum(self._bins.values())
+        self._mean = sum(held * self.RATIO ** (at + 0.5) for at, held in self._bins.items()) / self._total
 
     def mean(self) -> float | None:
-        if not self._total:
-            return None
-        return sum(held * self.RATIO ** (at + 0.5) for at, held in self._bins.items()) / self._total
+        return self._mean
 
 
 class Server:
@@ -158,6 +161,7 @@
         self._kinds: dict[int, Histogram] = {}
         self.typical = 1.0  # connections that fill a server of mean power
         self.mean_pressure = 0.0
+        self._weigh_at = 0
 
     def take(self, now: int, server: Server, report: Report) -> None:
         server.count, server.pressure = report.count, report.pressure
@@ -171,7 +175,10 @@
             size = server.count / server.pressure
             server.capacity.add(size)
             self._kinds.setdefault(server.kind, Histogram()).add(size)
-        self._weigh(now)
+        # Guards against CPU growing with the square of the fleet: weighed a few times a period, not each report.
+        if now >= self._weigh_at:
+            self._weigh_at = now + PROBE_PERIOD // 10
+            self._weigh(now)
 
     def _weigh(self, now: int) -> None:
         ready = self._roster.ready
@@ -333,6 +340,10 @@
         if not any(server.count is not None for server in fresh):
             # None has a count, or all would be dropped: the design's even draw over ready servers.
             return self._rng.choice(well)
+        # Guards against a standing overload: what is piled up on a full server spoils all its connections.
+        fresh = [s for s in fresh if now >= s.full_until and (self._counts.projected(s) or 0.0) < FULL]
+        if not fresh:
+            return None
         roomy = [s for s in fresh if self.has_room(now, s)] or fresh
         if self._grouped and held.login.group:
             roomy = self._holders(held.login.group, roomy)
@@ -412,6 +423,7 @@
         self._workloads = workloads
         self._roster = roster
         self._max = max_hand_offs
+        self._resends = RESEND_MOST
 
     def _may_have_run(self, held: Held) -> list[Attempt]:
         return [a for a in held.attempts if a.outcome is None or not a.outcome.proves_not_run]
@@ -420,6 +432,13 @@
         if len(held.attempts) >= self._max or now >= held.login.time_limit_at:
             return False
         workload = self._workloads[held.login.workload]
+        if not held.attempts:
+            self._resends = min(RESEND_MOST, self._resends + RESEND_PART)
+        elif held.attempts[-1].outcome not in (Outcome.FULL, Outcome.NOT_CONNECTED):
+            # Guards against resends that keep a shared store behind all set-ups jammed by themselves.
+            if self._resends < 1.0:
+                return False
+            self._resends -= 1.0
         if workload.effect is Effect.REPEATABLE:
             return True
         ran = self._may_have_run(held)
@@ -450,7 +469,7 @@
         """Early enough to try elsewhere within the soft limit; the last hand-off has all that is left."""
         limit = held.login.time_limit_at
         left = self._max - len(held.attempts)
-        if left <= 1:
+        if left <= 1 or self._resends < RESEND_MOST / 2:
             return limit
         workload = self._workloads[held.login.workload]
         return min(limit, now + max(workload.soft_limit // 2, (limit - now) // left))
