--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -75,6 +75,7 @@
         self.read_at = 0  # when the last report came; 0: none yet
         self.placed: dict[int, tuple[int, float]] = {}  # own placements a report may not hold yet
         self.open: dict[int, Held] = {}  # own connections
+        self.groups: dict[int, int] = {}  # how many of them belong to each group
         self.capacity = Histogram()  # connections that would fill it
         self.power = 1.0  # against the fleet's mean
         self.fails = 0
@@ -317,8 +318,8 @@
         self._health = health
         self._cold = cold
         self._grouped = grouped
-        self.group_load: dict[int, float] = {}  # own open connections of each group
-        self.total_load = 0.0
+        self.group_load: dict[int, int] = {}  # own open connections of each group
+        self.total_load = 0
 
     def room_limit(self) -> float:
         return max(ROOM, EVEN * self._counts.mean_pressure)
@@ -357,29 +358,31 @@
         return self._rng.choices(servers, weights)[0]
 
     def _holders(self, group: int, servers: list[Server]) -> list[Server]:
-        """The servers that should hold a group: so many, in the group's own order, as its load needs.
+        """The servers that should hold a group: so many as its load needs, those that hold most of it first.
 
-        The order comes from the ids alone, so balancers that never speak choose the same servers.
+        Then the group's own order: it comes from the ids alone, so balancers that never speak choose alike.
         """
-        share = self.group_load.get(group, 0.0) / self.total_load if self.total_load else 0.0
+        share = self.group_load.get(group, 0) / self.total_load if self.total_load else 0.0
         need = share * GROUP_SPREAD * sum(server.power for server in self._roster.ready)
         chosen: list[Server] = []
-        for server in sorted(servers, key=lambda s: _rank(group, s.id)):
+        for server in sorted(servers, key=lambda s: (-s.groups.get(group, 0), _rank(group, s.id))):
             chosen.append(server)
             need -= server.power
             if need <= 0:
                 break
         return chosen
 
-    def count_group(self, held: Held, sign: int) -> None:
+    def count_group(self, held: Held, server: Server | None, sign: int) -> None:
         group = held.login.group
         self.total_load += sign
-        if group:
-            load = self.group_load.get(group, 0.0) + sign
+        if not group:
+            return
+        for counts in (self.group_load, server.groups if server is not None else {}):
+            load = counts.get(group, 0) + sign
             if load > 0:
-                self.group_load[group] = load
+                counts[group] = load
             else:
-                self.group_load.pop(group, None)
+                counts.pop(group, None)
 
 
 def _rank(group: int, server: int) -> int:
@@ -728,8 +731,8 @@
 
     def _opened(self, held: Held, server: int) -> None:
         held.is_open = True
-        self._draw.count_group(held, 1)
         known = self._roster.servers.get(server)
+        self._draw.count_group(held, known, 1)
         if known is not None:
             known.open[held.login.login] = held
 
@@ -747,7 +750,7 @@
         login = held.login.login
         self._held.pop(login, None)
         if held.is_open:
-            self._draw.count_group(held, -1)
+            self._draw.count_group(held, self._roster.servers.get(held.attempts[-1].server), -1)
         for attempt in held.attempts[-1:]:
             server = self._roster.servers.get(attempt.server)
             if server is not None:
