--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -498,9 +498,10 @@
         pressure, mean = server.pressure, self._counts.mean_pressure
         if pressure is None or now < server.rest_until or not server.open:
             return
-        if pressure <= max(HOT, EVEN * mean) or mean > ROOM:
+        # Past all it can do a server serves none of its connections well, so it sheds even where the fleet is full.
+        if pressure <= max(HOT, min(EVEN * mean, 1.0)):
             return
-        target = max(ROOM, mean)
+        target = max(ROOM, min(mean, HOT))
         part = MOVE_PART * (pressure - target) / pressure
         own = sorted(server.open.values(), key=lambda held: -held.load)
         excess = part * sum(held.load for held in own)
