--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -26,11 +26,11 @@
 EVEN = 1.15  # times the fleet's mean pressure: a fleet that is full all over has no hot server
 MOVE_REST = 5 * PROBE_PERIOD // 2  # until a move shows in the reports
 MOVE_PART = 0.5  # of the excess that goes in one step, each balancer its own part of it
-GROUP_SPREAD = 1.5  # times a group's share of the load: the part of the fleet's power that it may spread over
+GROUP_SPREAD = 1.15  # times a group's share of the load: the part of the fleet's power that it may spread over
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
 SILENT_IN_ROW = 3  # unanswered probes or connects after which a server counts as lost
 COLD_CARE = 0.5  # of the cold budget is used; the rest is for chance and for the others' errors
-FULL = 0.95  # of what a server can do: nothing new beyond it; a fleet with no server under it bounces
+FULL = 0.85  # of what a server can do: nothing new beyond it; a fleet with no server under it bounces
 RESEND_PART = 0.3  # resends earned by each login; past failures that may be shared, the rest are bounced
 RESEND_MOST = 10.0  # resends that may be saved up
 FULL_FLEET = 0.9  # mean pressure beyond which surplus logins are bounced
@@ -499,7 +499,7 @@
         if pressure is None or now < server.rest_until or not server.open:
             return
         # Past all it can do a server serves none of its connections well, so it sheds even where the fleet is full.
-        if pressure <= max(HOT, min(EVEN * mean, 1.0)):
+        if pressure <= max(HOT, min(EVEN * mean, FULL + 0.1)):
             return
         target = max(ROOM, min(mean, HOT))
         part = MOVE_PART * (pressure - target) / pressure
