--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,179 @@
+"""Short traces of decisions; the traces kept in tests/traces are read by people."""
+
+from collections import Counter
+
+import pytest
+from scene import MS, Scene
+
+from corklift.interface import Effect, Login, Outcome, Reach, Report, Scope, Status, Workload
+
+
+def ready(*counts, **settings) -> Scene:
+    """A scene with servers 1, 2, ... that report these counts, after a second and a half."""
+    scene = Scene(**settings)
+    scene.listed(*range(1, len(counts) + 1))
+    scene.auto = {at: Report(count=n) for at, n in enumerate(counts, 1)}
+    scene.run(1500)
+    return scene
+
+
+def test_draw_is_inverse_to_count_plus_one():
+    drawn = Counter()
+    for seed in range(600):
+        drawn[ready(0, 1, 4, seed=seed).login(1)] += 1
+    # weights 1, 1/2, 1/5: expected 353, 176, 71 of 600
+    assert 310 < drawn[1] < 395 and 140 < drawn[2] < 215 and 45 < drawn[3] < 100
+
+
+def test_own_placements_are_added_until_a_report_holds_them():
+    scene = ready(0, 0)
+    first = [scene.login(n) for n in range(1, 41)]
+    assert 14 <= first.count(1) <= 26  # a server that reports none is not flooded
+
+
+def test_even_draw_without_counts_and_ageing():
+    scene = Scene()
+    scene.listed(1, 2)
+    assert {scene.login(n) for n in range(1, 30)} == {1, 2}
+    scene = ready(0, 9)
+    scene.auto[1] = Outcome.FULL  # answers nothing of use: its count grows old
+    scene.run(4500)
+    assert {scene.login(n) for n in range(1, 30)} == {2}
+
+
+def test_draining_and_gone_leave_at_once():
+    scene = ready(0, 0, 0)
+    held = next(n for n in range(1, 50) if scene.login(n) == 2)
+    scene.stands(held)
+    scene.lines.clear()
+    scene.listed(2, scope=Scope.DELTA, status=Status.DRAINING)
+    scene.listed(3, scope=Scope.DELTA, status=Status.GONE)
+    assert {scene.login(n) for n in range(100, 130)} == {1}
+    scene.lines = scene.lines[:3]
+    scene.check("drains")
+
+
+@pytest.mark.parametrize("effect, reach, last", [
+    (Effect.REPEATABLE, Reach.ALL, "hand off"), (Effect.TAGGED, Reach.CELL, "terminate"),
+    (Effect.TAGGED, Reach.ALL, "hand off"), (Effect.ONCE_ONLY, Reach.ALL, "terminate")])
+def test_what_may_follow_a_hand_off_that_may_have_run(effect, reach, last):
+    scene = Scene(workloads=[Workload("w", 1.0, 800 * MS, 3200 * MS, effect, reach, 5000 * MS)])
+    scene.listed(1, cell=1)
+    scene.listed(2, scope=Scope.DELTA, cell=2)
+    scene.login(1)
+    scene.ends(1, Outcome.NOT_CONNECTED)  # proves that it never ran: any may go on
+    assert scene.sent[-1][1] != scene.sent[0][1]
+    # the server it may have run on drains, so only another cell is left
+    scene.listed(scene.sent[-1][1], scope=Scope.DELTA, status=Status.DRAINING)
+    scene.ends(1, Outcome.ERROR, attempt=1)
+    assert scene.lines[-1].split(maxsplit=1)[1].startswith(last)
+
+
+def test_final_answer_at_once_with_a_retry_time():
+    scene = Scene(max_hand_offs=2, max_retry_after=1000 * MS)
+    scene.login(1)  # the list is empty
+    scene.listed(1)
+    scene.login(2)
+    scene.ends(2, Outcome.ERROR)
+    scene.ends(2, Outcome.TIMED_OUT, attempt=1)
+    scene.ends(2, Outcome.TIMED_OUT, attempt=1)  # already answered: nothing more
+    scene.check("final_answer")
+
+
+def test_failures_in_a_row_one_trial_and_back():
+    scene = ready(0, 0, 0, 0, max_hand_offs=1)
+    number = 0
+    while not any("out of the draw" in line for line in scene.lines):
+        number += 1
+        scene.ends(number, Outcome.ERROR if scene.login(number) == 2 else Outcome.CANCELLED, closed=True)
+    assert 2 not in [scene.login(n) for n in range(1000, 1030)]
+    scene.run(3000)
+    assert [scene.login(n) for n in range(2000, 2200)].count(2) == 1  # a single trial login
+
+
+def test_all_failing_leaves_something_to_draw_from():
+    scene = ready(0)
+    for number in range(1, 4):
+        scene.login(number)
+        scene.ends(number, Outcome.ERROR, closed=True)
+    assert scene.login(9) == 1
+
+
+def test_a_silent_server_is_emptied_and_comes_back_as_cold():
+    scene = ready(0, 0)
+    held = next(n for n in range(1, 50) if scene.login(n) == 2)
+    scene.stands(held)
+    scene.lines.clear()
+    scene.auto[2] = Outcome.TIMED_OUT
+    scene.run(1000)
+    scene.auto[2] = Report(count=0)
+    scene.run(2000)
+    assert [scene.login(n) for n in range(100, 140)].count(2) <= 2
+    scene.lines = [line for line in scene.lines if "hand off" not in line]
+    scene.check("silent")
+
+
+def test_cold_budget_holds_whatever_the_draw_says():
+    scene = Scene()
+    scene.listed(1)
+    scene.listed(2, scope=Scope.DELTA, started_at=scene.now)
+    scene.auto = {1: Report(60, 0.6), 2: Report(0, 0.0)}
+    scene.run(1500)
+    sent = [scene.login(n) for n in range(1, 60)]
+    assert 1 <= sent.count(2) <= 8
+
+
+def test_full_servers_get_nothing_and_a_hot_one_sheds():
+    # Guards against a standing overload, in which no connection is served well.
+    scene = ready(0, 0)
+    for number in range(1, 21):
+        scene.login(number)
+        scene.stands(number)
+    scene.auto = {1: Report(10, 1.2), 2: Report(10, 1.1)}
+    scene.lines.clear()
+    scene.run(3000)
+    assert scene.login(99) is None
+    scene.check("full")
+
+
+def test_resends_are_limited_so_that_a_shared_cause_can_clear():
+    # Guards against the jam of a shared store kept busy by resends.
+    scene = ready(*[0] * 6)
+    for number in range(1, 60):
+        scene.login(number)
+        for attempt in range(4):
+            if sum(login == number for login, _ in scene.sent) == attempt + 1:
+                scene.ends(number, Outcome.TIMED_OUT, attempt)
+    assert len(scene.sent) < 59 * 1.5 + 10
+
+
+def test_a_group_goes_to_its_holder_while_that_has_room():
+    scene = ready(5, 5, 5, grouped=True)
+    for number, group in enumerate((77, 78, 79, 80), 900):
+        scene.balancer.connection_carried(scene.now, Login(number, 0, 0, 0, 0, None, group), 3 - number % 3)
+    assert {scene.login(n, group=77) for n in range(1, 10)} == {3}
+    scene.auto = {1: Report(5, 0.2), 2: Report(5, 0.2), 3: Report(5, 0.9)}
+    scene.run(1500)
+    assert 3 not in {scene.login(n, group=77) for n in range(20, 30)}
+
+
+def test_a_broken_list_watch_is_asked_for_again_spread_out():
+    scene = Scene(ask_for_list=True)
+    scene.run(1000)
+    for _ in range(3):
+        scene.balancer.servers_listed(scene.now, Scope.FAILED, 0, ())
+        scene.run(2500)
+    scene.check("watch")
+
+
+def test_unknown_and_ended_logins_leave_no_state():
+    scene = ready(0, 0)
+    scene.balancer.login_dropped(scene.now, 5)
+    scene.balancer.probe_answered(scene.now, 99, MS, Outcome.FULFILLED, Report(1.0))
+    scene.balancer.hand_off_ended(scene.now, 5, True, 99, Outcome.BROKEN, 0, MS, None)
+    scene.login(6)
+    scene.balancer.login_dropped(scene.now, 6)
+    scene.ends(6, Outcome.CANCELLED, closed=True)
+    scene.balancer.login_dropped(scene.now, 6)
+    scene.check("ended")
+    assert not scene.balancer._held
