--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -213,11 +213,14 @@
         return sum(load for _, load in server.placed.values())
 
     def projected(self, server: Server) -> float | None:
-        """Pressure with own placements since added."""
+        """Pressure with placements since: own ones, and as many by each other balancer.
+
+        Guards against a flood of returning clients (a drain, a reconnect), of which each balancer sees its part.
+        """
         if server.pressure is None:
             return None
         size = self.capacity(server)
-        return server.pressure + (self.since(server) / size if size else 0.0)
+        return server.pressure + (self.since(server) * self._balancers / size if size else 0.0)
 
     def per_power(self, server: Server, mean: float) -> float:
         """Connections of like cost a unit of power: the design's count for servers and logins unlike each other."""
