--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -325,7 +325,7 @@
         self.total_load = 0
 
     def room_limit(self) -> float:
-        return max(ROOM, EVEN * self._counts.mean_pressure)
+        return max(ROOM, self._counts.mean_pressure)
 
     def has_room(self, now: int, server: Server) -> bool:
         if now < server.full_until:
