--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -157,7 +157,7 @@
 
     def __init__(self, roster: Roster, balancers: int, weight_varies: bool) -> None:
         self._roster = roster
-        self.balancers = balancers
+        self._balancers = balancers
         self._weight_varies = weight_varies
         self._kinds: dict[int, Histogram] = {}
         self.typical = 1.0  # connections that fill a server of mean power
@@ -212,15 +212,15 @@
     def since(self, server: Server) -> float:
         return sum(load for _, load in server.placed.values())
 
-    def projected(self, server: Server, balancers: int = 1) -> float | None:
-        """Pressure with placements since: own ones, and as many by each of the other balancers named.
+    def projected(self, server: Server) -> float | None:
+        """Pressure with placements since: own ones, and as many by each other balancer.
 
         Guards against a flood of returning clients (a drain, a reconnect), of which each balancer sees its part.
         """
         if server.pressure is None:
             return None
         size = self.capacity(server)
-        return server.pressure + (self.since(server) * balancers / size if size else 0.0)
+        return server.pressure + (self.since(server) * self._balancers / size if size else 0.0)
 
     def per_power(self, server: Server, mean: float) -> float:
         """Connections of like cost a unit of power: the design's count for servers and logins unlike each other."""
@@ -229,7 +229,7 @@
         elif server.count is not None:
             known = server.count / server.power
         else:
-            known = max(mean, len(server.open) * self.balancers / server.power)
+            known = max(mean, len(server.open) * self._balancers / server.power)
         return known + self.since(server) / server.power
 
     def mean_per_power(self, servers: list[Server]) -> float:
@@ -330,7 +330,7 @@
     def has_room(self, now: int, server: Server) -> bool:
         if now < server.full_until:
             return False
-        pressure = self._counts.projected(server, self._counts.balancers)
+        pressure = self._counts.projected(server)
         return pressure is None or pressure < self.room_limit()
 
     def pick(self, now: int, held: Held, allowed: Callable[[Server], bool]) -> Server | None:
