--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -27,6 +27,7 @@
 MOVE_REST = 5 * PROBE_PERIOD // 2  # until a move shows in the reports
 MOVE_PART = 0.5  # of the excess that goes in one step, each balancer its own part of it
 GROUP_SPREAD = 1.15  # times a group's share of the load: the part of the fleet's power that it may spread over
+GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
 SILENT_IN_ROW = 3  # unanswered probes or connects after which a server counts as lost
 COLD_CARE = 0.5  # of the cold budget is used; the rest is for chance and for the others' errors
@@ -323,6 +324,7 @@
         self._grouped = grouped
         self.group_load: dict[int, int] = {}  # own open connections of each group
         self.total_load = 0
+        self._homes: dict[int, int] = {}  # where a group's last connection was opened
 
     def room_limit(self) -> float:
         return max(ROOM, self._counts.mean_pressure)
@@ -348,10 +350,12 @@
         fresh = [s for s in fresh if now >= s.full_until and (self._counts.projected(s) or 0.0) < FULL]
         if not fresh:
             return None
-        roomy = [s for s in fresh if self.has_room(now, s)] or fresh
+        roomy = [s for s in fresh if self.has_room(now, s)]
         if self._grouped and held.login.group:
-            roomy = self._holders(held.login.group, roomy)
-        return self._weighted(roomy)
+            roomy = self._holders(held.login.group, roomy, fresh)
+            if not roomy:
+                return None
+        return self._weighted(roomy or fresh)
 
     def _weighted(self, servers: list[Server]) -> Server:
         if len(servers) == 1:
@@ -360,26 +364,41 @@
         weights = [s.power / (self._counts.per_power(s, mean) + 1.0) for s in servers]
         return self._rng.choices(servers, weights)[0]
 
-    def _holders(self, group: int, servers: list[Server]) -> list[Server]:
+    def _holders(self, group: int, roomy: list[Server], fresh: list[Server]) -> list[Server]:
         """The servers that should hold a group: so many as its load needs, those that hold most of it first.
 
         Then the group's own order: it comes from the ids alone, so balancers that never speak choose alike.
+        A server that does not hold the group yet needs room for the group's own cost too. Guards against
+        groups that scatter over a full fleet, where every server comes to pay for every group.
         """
         share = self.group_load.get(group, 0) / self.total_load if self.total_load else 0.0
         need = share * GROUP_SPREAD * sum(server.power for server in self._roster.ready)
         chosen: list[Server] = []
-        for server in sorted(servers, key=lambda s: (-s.groups.get(group, 0), _rank(group, s.id))):
+        spare = self._spill(group, roomy, ROOM)
+        for server in self._held_by(group, roomy) + sorted(spare, key=lambda s: _rank(group, s.id)):
             chosen.append(server)
             need -= server.power
             if need <= 0:
                 break
-        return chosen
+        return chosen or self._held_by(group, fresh) or self._spill(group, fresh, FULL)
+
+    def _held_by(self, group: int, servers: list[Server]) -> list[Server]:
+        home = self._homes.get(group)
+        return sorted((s for s in servers if group in s.groups or s.id == home),
+                      key=lambda s: (-s.groups.get(group, 0), _rank(group, s.id)))
+
+    def _spill(self, group: int, servers: list[Server], limit: float) -> list[Server]:
+        home = self._homes.get(group)
+        return [s for s in servers if group not in s.groups and s.id != home
+                and (self._counts.projected(s) or 0.0) < limit - GROUP_MARGIN]
 
     def count_group(self, held: Held, server: Server | None, sign: int) -> None:
         group = held.login.group
         self.total_load += sign
         if not group:
             return
+        if sign > 0 and server is not None:
+            self._homes[group] = server.id
         for counts in (self.group_load, server.groups if server is not None else {}):
             load = counts.get(group, 0) + sign
             if load > 0:
