--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -503,11 +503,11 @@
 class Moves:
     """The exception to kept placements: off a lost or draining server, and off a hot one in bounded steps."""
 
-    def __init__(self, host: Host, rng: Random, roster: Roster, counts: Counts) -> None:
+    def __init__(self, host: Host, rng: Random, counts: Counts, group_load: dict[int, int]) -> None:
         self._host = host
         self._rng = rng
-        self._roster = roster
         self._counts = counts
+        self._group_load = group_load
 
     def evacuate(self, server: Server, why: str) -> None:
         if server.open:
@@ -525,7 +525,8 @@
             return
         target = max(ROOM, min(mean, HOT))
         part = MOVE_PART * (pressure - target) / pressure
-        own = sorted(server.open.values(), key=lambda held: -held.load)
+        # Remnants of groups that live elsewhere go first, the smallest before all: each takes the group's cost along.
+        own = sorted(server.open.values(), key=lambda held: (self._remnant(server, held), -held.load))
         excess = part * sum(held.load for held in own)
         if self._rng.random() * own[-1].load > excess:
             return
@@ -540,6 +541,12 @@
         server.rest_until = now + MOVE_REST
         self._host.log(f"server {server.id} hot at {pressure:.2f}: moved {moved} of {len(own)}")
 
+    def _remnant(self, server: Server, held: Held) -> int:
+        """How many of a connection's group stand here, where more of it stand elsewhere; else a large number."""
+        group = held.login.group
+        here, all_of_it = server.groups.get(group, 0), self._group_load.get(group, 0)
+        return here if group and 2 * here < all_of_it else 1_000_000
+
 
 class ListFollowing:
     """Keeps a watch on the list where it must be asked for."""
@@ -591,7 +598,7 @@
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped)
         self._admission = Admission(self._counts, workloads, tenants, balancers)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
-        self._moves = Moves(host, rng, self._roster, self._counts)
+        self._moves = Moves(host, rng, self._counts, self._draw.group_load)
         self._list = ListFollowing(host, rng, ask_for_list, ask_within)
         first = self._list.first_wait()
         if first is not None:
