--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -75,6 +75,7 @@
         self.pressure: float | None = None
         self.read_at = 0  # when the last report came; 0: none yet
         self.placed: dict[int, tuple[int, float]] = {}  # own placements a report may not hold yet
+        self.since = 0.0  # their load
         self.open: dict[int, Held] = {}  # own connections
         self.groups: dict[int, int] = {}  # how many of them belong to each group
         self.capacity = Histogram()  # connections that would fill it
@@ -164,6 +165,7 @@
         self.typical = 1.0  # connections that fill a server of mean power
         self.mean_pressure = 0.0
         self._weigh_at = 0
+        self._since = 0.0
 
     def take(self, now: int, server: Server, report: Report) -> None:
         server.count, server.pressure = report.count, report.pressure
@@ -172,7 +174,7 @@
         server.read_at = now
         horizon = now - REPORT_LAG
         for login in [login for login, (at, _) in server.placed.items() if at <= horizon]:
-            del server.placed[login]
+            self.unplaced(server, login)
         if server.count and server.pressure and server.count >= 4 and server.pressure > 0.04:
             size = server.count / server.pressure
             server.capacity.add(size)
@@ -210,18 +212,29 @@
         """Ageing: a server unheard of for the age limit is dropped; a new one is given as long to answer."""
         return now - (server.read_at or server.listed_at) <= AGE_LIMIT
 
-    def since(self, server: Server) -> float:
-        return sum(load for _, load in server.placed.values())
+    def placed(self, now: int, server: Server, held: Held) -> None:
+        server.placed[held.login.login] = (now, held.load)
+        server.since += held.load
+        self._since += held.load
+
+    def unplaced(self, server: Server, login: int) -> None:
+        _, load = server.placed.pop(login, (0, 0.0))
+        server.since -= load
+        self._since -= load
 
     def projected(self, server: Server) -> float | None:
-        """Pressure with placements since: own ones, and as many by each other balancer.
+        """Pressure with placements since: own ones, and those that the other balancers are taken to have made.
 
-        Guards against a flood of returning clients (a drain, a reconnect), of which each balancer sees its part.
+        Guards against a flood of returning clients (a drain, a reconnect), of which each balancer sees its part:
+        the others are held to do as this one did, half on the same server and half over the whole fleet.
         """
         if server.pressure is None:
             return None
         size = self.capacity(server)
-        return server.pressure + (self.since(server) * self._balancers / size if size else 0.0)
+        if not size:
+            return server.pressure
+        spread = self._since * server.power / max(1, len(self._roster.ready))
+        return server.pressure + (server.since + (self._balancers - 1) * (server.since + spread) / 2) / size
 
     def per_power(self, server: Server, mean: float) -> float:
         """Connections of like cost a unit of power: the design's count for servers and logins unlike each other."""
@@ -231,7 +244,7 @@
             known = server.count / server.power
         else:
             known = max(mean, len(server.open) * self._balancers / server.power)
-        return known + self.since(server) / server.power
+        return known + server.since / server.power
 
     def mean_per_power(self, servers: list[Server]) -> float:
         known = [self.per_power(server, 0.0) for server in servers if server.count is not None]
@@ -652,7 +665,7 @@
             self._forget(held)
             return
         if known is not None:
-            known.placed.pop(login, None)
+            self._counts.unplaced(known, login)
         if held.attempts[-1].outcome is not None:
             self._place(now, held)
 
@@ -744,7 +757,7 @@
         login = held.login.login
         self._health.drawn(server, login)
         self._cold.spend(now, server, held.load)
-        server.placed[login] = (now, held.load)
+        self._counts.placed(now, server, held)
         cut_at = self._hand_offs.cut_at(now, held)
         held.attempts.append(Attempt(server.id, now))
         self._host.hand_off(login, server.id, cut_at)
@@ -784,7 +797,7 @@
         for attempt in held.attempts[-1:]:
             server = self._roster.servers.get(attempt.server)
             if server is not None:
-                server.placed.pop(login, None)
+                self._counts.unplaced(server, login)
                 server.open.pop(login, None)
                 if server.trial == login:
                     server.trial = 0
