--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -27,6 +27,7 @@
 MOVE_REST = 5 * PROBE_PERIOD // 2  # until a move shows in the reports
 MOVE_PART = 0.5  # of the excess that goes in one step, each balancer its own part of it
 GROUP_SPREAD = 1.15  # times a group's share of the load: the part of the fleet's power that it may spread over
+ALIKE = 4  # balancers, this one too, that are taken to place alike
 GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
 SILENT_IN_ROW = 3  # unanswered probes or connects after which a server counts as lost
@@ -226,7 +227,7 @@
         """Pressure with placements since: own ones, and those that the other balancers are taken to have made.
 
         Guards against a flood of returning clients (a drain, a reconnect), of which each balancer sees its part:
-        the others are held to do as this one did, half on the same server and half over the whole fleet.
+        a few others are held to do as this one did, the rest, too many to guess so, spread over the fleet.
         """
         if server.pressure is None:
             return None
@@ -234,7 +235,8 @@
         if not size:
             return server.pressure
         spread = self._since * server.power / max(1, len(self._roster.ready))
-        return server.pressure + (server.since + (self._balancers - 1) * (server.since + spread) / 2) / size
+        alike = min(self._balancers, ALIKE)
+        return server.pressure + (alike * server.since + (self._balancers - alike) * spread) / size
 
     def per_power(self, server: Server, mean: float) -> float:
         """Connections of like cost a unit of power: the design's count for servers and logins unlike each other."""
