--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -686,7 +686,7 @@
         if known is None:
             return
         if outcome is Outcome.FULFILLED:
-            if known.silent >= SILENT_IN_ROW:
+            if known.silent and now - max(known.read_at, known.listed_at) > AGE_LIMIT:
                 # Guards against pushing over a server that came back cold before the list says so.
                 known.started_at = max(known.started_at, now)
                 self._host.log(f"server {server} answers again: taken as just started")
@@ -698,7 +698,8 @@
             known.silent += 1
             if known.silent < SILENT_IN_ROW and known.status is Status.READY:
                 self._host.probe(server)
-            elif known.silent == SILENT_IN_ROW:
+            # Guards against emptying a server that is only too busy to answer: that one is given longer.
+            elif known.silent == (SILENT_IN_ROW if (known.pressure or 0.0) < HOT else 2 * SILENT_IN_ROW):
                 self._moves.evacuate(known, "silent")
 
     def servers_listed(self, now: int, scope: Scope, revision: int, lines: Iterable[Listed]) -> None:
