--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -27,6 +27,9 @@
 MOVE_REST = 5 * PROBE_PERIOD // 2  # until a move shows in the reports
 MOVE_PART = 0.5  # of the excess that goes in one step, each balancer its own part of it
 GROUP_SPREAD = 1.15  # times a group's share of the load: the part of the fleet's power that it may spread over
+CAUTION = 0.1  # of what a server can do, more room for each break under load ...
+CAUTION_TIME = 4 * PROBE_PERIOD  # ... remembered this long for each
+STRIKES_KEPT = 10_000  # clients
 ALIKE = 4  # balancers, this one too, that are taken to place alike
 GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
@@ -339,6 +342,7 @@
         self._grouped = grouped
         self.group_load: dict[int, int] = {}  # own open connections of each group
         self.total_load = 0
+        self._strikes: dict[int, tuple[int, int]] = {}  # a client's breaks under load, and when the last was
         self._homes: dict[int, int] = {}  # where a group's last connection was opened
 
     def room_limit(self) -> float:
@@ -362,7 +366,8 @@
             # None has a count, or all would be dropped: the design's even draw over ready servers.
             return self._rng.choice(well)
         # Guards against a standing overload: what is piled up on a full server spoils all its connections.
-        fresh = [s for s in fresh if now >= s.full_until and (self._counts.projected(s) or 0.0) < FULL]
+        limit = FULL - self._caution(now, held.login.subject)
+        fresh = [s for s in fresh if now >= s.full_until and (self._counts.projected(s) or 0.0) < limit]
         if not fresh:
             return None
         roomy = [s for s in fresh if self.has_room(now, s)]
@@ -372,6 +377,24 @@
                 return None
         return self._weighted(roomy or fresh)
 
+    def broke_under_load(self, now: int, held: Held, server: Server) -> None:
+        """Notes a client whose connection broke on a crowded server; it may be what crowded it."""
+        if held.login.subject and server.status is Status.READY and (server.pressure or 0.0) > ROOM:
+            strikes, _ = self._strikes.get(held.login.subject, (0, now))
+            self._strikes[held.login.subject] = (strikes + 1, now)
+            if len(self._strikes) > STRIKES_KEPT:
+                del self._strikes[next(iter(self._strikes))]
+
+    def _caution(self, now: int, subject: int) -> float:
+        """How much more room a client needs that broke under load lately.
+
+        Guards against one giant connection that topples a server, breaks, and comes back to topple the next.
+        """
+        strikes, at = self._strikes.get(subject, (0, 0))
+        if strikes < 2 or now - at > strikes * CAUTION_TIME:
+            return 0.0
+        return CAUTION * strikes
+
     def _weighted(self, servers: list[Server]) -> Server:
         if len(servers) == 1:
             return servers[0]
@@ -664,6 +687,8 @@
         if attempt < len(held.attempts):
             held.attempts[attempt].outcome = outcome
         if closed:
+            if held.is_open and outcome is Outcome.BROKEN and known is not None and not known.silent:
+                self._draw.broke_under_load(now, held, known)
             self._forget(held)
             return
         if known is not None:
