--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -30,6 +30,7 @@
 CAUTION = 0.1  # of what a server can do, more room for each break under load ...
 CAUTION_TIME = 4 * PROBE_PERIOD  # ... remembered this long for each
 STRIKES_KEPT = 10_000  # clients
+RESERVE = 0.1  # of what a server can do, kept for logins that bring more importance for their load
 ALIKE = 4  # balancers, this one too, that are taken to place alike
 GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
@@ -107,13 +108,14 @@
 class Held:
     """A login this balancer answers for, or the connection it became."""
 
-    __slots__ = ("login", "attempts", "is_open", "load", "surplus")
+    __slots__ = ("login", "attempts", "is_open", "load", "surplus", "reserve")
 
     def __init__(self, login: Login, load: float) -> None:
         self.login, self.load = login, load
         self.attempts: list[Attempt] = []
         self.is_open = False
         self.surplus = False
+        self.reserve = 0.0  # of each server, kept from this login
 
 
 class Roster:
@@ -366,7 +368,7 @@
             # None has a count, or all would be dropped: the design's even draw over ready servers.
             return self._rng.choice(well)
         # Guards against a standing overload: what is piled up on a full server spoils all its connections.
-        limit = FULL - self._caution(now, held.login.subject)
+        limit = FULL - self._caution(now, held.login.subject) - held.reserve
         fresh = [s for s in fresh if now >= s.full_until and (self._counts.projected(s) or 0.0) < limit]
         if not fresh:
             return None
@@ -455,13 +457,37 @@
 class Admission:
     """Bounces what a full fleet cannot serve well: first what lies beyond a tenant's share."""
 
-    def __init__(self, counts: Counts, workloads: list[Workload], tenants: list[Tenant], balancers: int) -> None:
+    def __init__(self, counts: Counts, workloads: list[Workload], tenants: list[Tenant], balancers: int,
+                 per_work: bool) -> None:
         self._counts = counts
         self._workloads = workloads
+        self._per_work = per_work
+        self._loads = [[0.0, 0.0] for _ in workloads]  # sum and number of the loads told, halved now and then
         self._rates = [tenant.quota_per_s / balancers for tenant in tenants]
         self._left = [2.0 * rate for rate in self._rates]
         self._at = [0] * len(tenants)
 
+    def saw_load(self, workload: int, load: float) -> None:
+        seen = self._loads[workload]
+        seen[0], seen[1] = seen[0] + load, seen[1] + 1
+        if seen[1] >= 200:
+            seen[0], seen[1] = seen[0] / 2, seen[1] / 2
+
+    def _yield_of(self, workload: int) -> float | None:
+        """Importance for a unit of load; None where loads are not told and importance is not by work."""
+        importance = self._workloads[workload].importance
+        if self._per_work:
+            return importance
+        load, seen = self._loads[workload]
+        return importance * seen / load if load else None
+
+    def reserve(self, held: Held) -> float:
+        """How much of a server is kept from this login for ones that bring more importance for their load."""
+        own, yields = self._yield_of(held.login.workload), list(map(self._yield_of, range(len(self._workloads))))
+        known = [value for value in yields if value]
+        lesser = 1.0 - own / max(known) if own is not None and len(known) == len(yields) else 0.0
+        return RESERVE * (lesser + (1.0 if held.surplus else 0.0))
+
     def surplus(self, now: int, login: Login) -> bool:
         """Whether this login lies beyond its tenant's share of this balancer's part, over about two seconds."""
         if login.tenant >= len(self._rates) or not self._rates[login.tenant]:
@@ -634,7 +660,7 @@
         self._health = Health(host, rng)
         self._cold = ColdBudget(cold, balancers, self._counts)
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped)
-        self._admission = Admission(self._counts, workloads, tenants, balancers)
+        self._admission = Admission(self._counts, workloads, tenants, balancers, per_work)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
         self._moves = Moves(host, rng, self._counts, self._draw.group_load)
         self._list = ListFollowing(host, rng, ask_for_list, ask_within)
@@ -648,6 +674,9 @@
         held = Held(login, self._like(login.cost))
         self._held[login.login] = held
         held.surplus = self._admission.surplus(now, login)
+        if login.cost:
+            self._admission.saw_load(login.workload, held.load)
+        held.reserve = self._admission.reserve(held)
         if login.mid_flow or self._admission.admits(held):
             self._place(now, held)
         else:
@@ -672,6 +701,7 @@
         held = self._held.get(login)
         if held is not None and kind is NoteKind.LOAD:
             held.load = self._like(value)
+            self._admission.saw_load(held.login.workload, held.load)
 
     def hand_off_ended(self, now: int, login: int, closed: bool, server: int, outcome: Outcome, attempt: int,
                        delay: int, report: Report | None) -> None:
