--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -486,7 +486,7 @@
         own, yields = self._yield_of(held.login.workload), list(map(self._yield_of, range(len(self._workloads))))
         known = [value for value in yields if value]
         lesser = 1.0 - own / max(known) if own is not None and len(known) == len(yields) else 0.0
-        return RESERVE * (lesser + (1.0 if held.surplus else 0.0))
+        return RESERVE * lesser
 
     def surplus(self, now: int, login: Login) -> bool:
         """Whether this login lies beyond its tenant's share of this balancer's part, over about two seconds."""
