--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -19,6 +19,8 @@
 
 SECOND = 1_000_000_000
 PROBE_PERIOD = SECOND  # the design's "about once a second"
+CALM_PERIOD = 2 * PROBE_PERIOD  # for a server with much room: probes are paid for, and little hangs on its count
+CALM = 0.5  # of what a server can do: below it a server has much room
 AGE_LIMIT = 3 * PROBE_PERIOD  # the design's 3 s: a count older than this leaves the draw
 REPORT_LAG = PROBE_PERIOD  # a report may miss placements made this long before it came
 ROOM = 0.7  # of what a server can do: beyond it a server gets nothing new while others have room
@@ -490,7 +492,7 @@
 
     def surplus(self, now: int, login: Login) -> bool:
         """Whether this login lies beyond its tenant's share of this balancer's part, over about two seconds."""
-        if login.tenant >= len(self._rates) or not self._rates[login.tenant]:
+        if login.came_back or login.tenant >= len(self._rates) or not self._rates[login.tenant]:
             return False
         tenant, rate = login.tenant, self._rates[login.tenant]
         passed = (now - self._at[tenant]) / SECOND if self._at[tenant] else 0.0
@@ -793,7 +795,9 @@
         def due(now: int) -> None:
             if server.status is Status.READY and server.probing == turn:
                 self._host.probe(server.id)
-                self._schedule_probe(server, turn, PROBE_PERIOD)
+                calm = (server.pressure is not None and server.pressure < CALM and not server.silent
+                        and not self._cold.is_cold(now, server))
+                self._schedule_probe(server, turn, CALM_PERIOD if calm else PROBE_PERIOD)
         self._after(wait, due)
 
     def _like(self, cost: float | None) -> float:
