--- a/corklift/benchlink/settings.py
+++ b/corklift/benchlink/settings.py
@@ -96,6 +96,7 @@
         ask_within=int(_number(rules, "ask-within-ns", "rules.", 10_000_000_000)),
         grouped=bool(_need(family, "groups", "family-info.", False)),
         weight_varies=_need(top, "weight-source", "", "none") == "live",
+        crossing_price=_number(_need(top, "fees", "", {}), "cross-zone", "fees.", 0.0),
         memory=int(_number(family, "park-ns", "family-info.", 0)),
     )
     return arguments, tuple(names)
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -33,6 +33,7 @@
 CAUTION_TIME = 4 * PROBE_PERIOD  # ... remembered this long for each
 STRIKES_KEPT = 10_000  # clients
 RESERVE = 0.1  # of what a server can do, kept for logins that bring more importance for their load
+DEAR_CROSSING = 0.01  # of a login's worth: a crossing of zones that costs more is avoided while there is room
 ALIKE = 4  # balancers, this one too, that are taken to place alike
 GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
@@ -337,7 +338,9 @@
     """The design's random draw, and the narrowing of who takes part in it."""
 
     def __init__(self, rng: Random, roster: Roster, counts: Counts, health: Health, cold: ColdBudget,
-                 grouped: bool) -> None:
+                 grouped: bool, zone: int, crossing_price: float) -> None:
+        self._zone = zone
+        self._crossing_price = crossing_price
         self._rng = rng
         self._roster = roster
         self._counts = counts
@@ -352,6 +355,14 @@
     def room_limit(self) -> float:
         return max(ROOM, self._counts.mean_pressure)
 
+    def _stays_near(self, login: Login) -> bool:
+        """Logins stay in their zone where a crossing is dear and the fleet has room for groups held twice.
+
+        Clients that come back do not: a drain or a break sends many at once, more than one zone has room for.
+        """
+        return (self._crossing_price > DEAR_CROSSING and not login.came_back
+                and self._counts.mean_pressure < ROOM - GROUP_MARGIN)
+
     def has_room(self, now: int, server: Server) -> bool:
         if now < server.full_until:
             return False
@@ -375,6 +386,11 @@
         if not fresh:
             return None
         roomy = [s for s in fresh if self.has_room(now, s)]
+        near = [s for s in roomy if s.zone == self._zone] if self._stays_near(held.login) else []
+        if near and self._grouped and held.login.group:
+            near = self._holders(held.login.group, near, [])
+        if near:
+            return self._weighted(near)
         if self._grouped and held.login.group:
             roomy = self._holders(held.login.group, roomy, fresh)
             if not roomy:
@@ -648,7 +664,8 @@
     def __init__(self, host: Host, rng: Random, *, now: int, zone: int, balancers: int, workloads: list[Workload],
                  tenants: list[Tenant], per_work: bool, cold: ColdRule, answer_slack: int, max_hand_offs: int,
                  connect_limit: int, max_retry_after: int, probes_allowed: bool, ask_for_list: bool,
-                 ask_within: int, grouped: bool, weight_varies: bool, memory: int) -> None:
+                 ask_within: int, grouped: bool, weight_varies: bool, memory: int,
+                 crossing_price: float) -> None:
         self._host = host
         self._rng = rng
         self._probes_allowed = probes_allowed
@@ -661,7 +678,8 @@
         self._counts = Counts(self._roster, balancers, weight_varies)
         self._health = Health(host, rng)
         self._cold = ColdBudget(cold, balancers, self._counts)
-        self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped)
+        self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
+                          crossing_price)
         self._admission = Admission(self._counts, workloads, tenants, balancers, per_work)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
         self._moves = Moves(host, rng, self._counts, self._draw.group_load)
