--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -34,7 +34,6 @@
 STRIKES_KEPT = 10_000  # clients
 RESERVE = 0.1  # of what a server can do, kept for logins that bring more importance for their load
 DEAR_CROSSING = 0.01  # of a login's worth: a crossing of zones that costs more is avoided while there is room
-BURST = 0.15  # of what a server can hold: so many set-ups at once spoil its messages while others have room
 ALIKE = 4  # balancers, this one too, that are taken to place alike
 GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
@@ -247,11 +246,6 @@
         alike = min(self._balancers, ALIKE)
         return server.pressure + (alike * server.since + (self._balancers - alike) * spread) / size
 
-    def burst(self, server: Server) -> float:
-        """What was placed on it since, by a few balancers alike, as a part of what it can hold."""
-        size = self.capacity(server)
-        return min(self._balancers, ALIKE) * server.since / size if size else 0.0
-
     def per_power(self, server: Server, mean: float) -> float:
         """Connections of like cost a unit of power: the design's count for servers and logins unlike each other."""
         if server.pressure is not None:
@@ -373,7 +367,7 @@
         if now < server.full_until:
             return False
         pressure = self._counts.projected(server)
-        return pressure is None or (pressure < self.room_limit() and self._counts.burst(server) < BURST)
+        return pressure is None or pressure < self.room_limit()
 
     def pick(self, now: int, held: Held, allowed: Callable[[Server], bool]) -> Server | None:
         tried = [attempt.server for attempt in held.attempts]
