--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -429,26 +429,36 @@
         A server that does not hold the group yet needs room for the group's own cost too. Guards against
         groups that scatter over a full fleet, where every server comes to pay for every group.
         """
+        homes = self._homes_of(group)
+        chosen = [s for s in roomy if s in homes]
+        if not chosen:
+            need = sum(s.power for s in homes)
+            spare = self._spill(group, [s for s in roomy if s not in homes], ROOM)
+            for server in sorted(spare, key=lambda s: (-s.groups.get(group, 0), _rank(group, s.id))):
+                chosen.append(server)
+                need -= server.power
+                if need <= 0:
+                    break
+        return chosen or [s for s in fresh if s in homes] or self._spill(group, fresh, FULL)
+
+    def _homes_of(self, group: int) -> list[Server]:
+        """As many servers as the group's load needs, those that hold most of it first, room or not."""
         share = self.group_load.get(group, 0) / self.total_load if self.total_load else 0.0
         need = share * GROUP_SPREAD * sum(server.power for server in self._roster.ready)
-        chosen: list[Server] = []
-        spare = self._spill(group, roomy, ROOM)
-        for server in self._held_by(group, roomy) + sorted(spare, key=lambda s: _rank(group, s.id)):
-            chosen.append(server)
+        homes: list[Server] = []
+        last = self._homes.get(group)
+        for server in sorted(self._roster.ready,
+                             key=lambda s: (-s.groups.get(group, 0), s.id != last, _rank(group, s.id))):
+            homes.append(server)
             need -= server.power
             if need <= 0:
                 break
-        return chosen or self._held_by(group, fresh) or self._spill(group, fresh, FULL)
-
-    def _held_by(self, group: int, servers: list[Server]) -> list[Server]:
-        home = self._homes.get(group)
-        return sorted((s for s in servers if group in s.groups or s.id == home),
-                      key=lambda s: (-s.groups.get(group, 0), _rank(group, s.id)))
+        return homes
 
     def _spill(self, group: int, servers: list[Server], limit: float) -> list[Server]:
-        home = self._homes.get(group)
-        return [s for s in servers if group not in s.groups and s.id != home
-                and (self._counts.projected(s) or 0.0) < limit - GROUP_MARGIN]
+        """Servers with room for the login, and for the group's own cost where they don't hold it."""
+        return [s for s in servers if (self._counts.projected(s) or 0.0)
+                < limit - (0.0 if group in s.groups else GROUP_MARGIN)]
 
     def count_group(self, held: Held, server: Server | None, sign: int) -> None:
         group = held.login.group
