--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -429,7 +429,7 @@
         A server that does not hold the group yet needs room for the group's own cost too. Guards against
         groups that scatter over a full fleet, where every server comes to pay for every group.
         """
-        homes = self._homes_of(group)
+        homes = self.homes_of(group)
         chosen = [s for s in roomy if s in homes]
         if not chosen:
             need = sum(s.power for s in homes)
@@ -441,7 +441,7 @@
                     break
         return chosen or [s for s in fresh if s in homes] or self._spill(group, fresh, FULL)
 
-    def _homes_of(self, group: int) -> list[Server]:
+    def homes_of(self, group: int) -> list[Server]:
         """As many servers as the group's load needs, those that hold most of it first, room or not."""
         share = self.group_load.get(group, 0) / self.total_load if self.total_load else 0.0
         need = share * GROUP_SPREAD * sum(server.power for server in self._roster.ready)
@@ -595,11 +595,13 @@
 class Moves:
     """The exception to kept placements: off a lost or draining server, and off a hot one in bounded steps."""
 
-    def __init__(self, host: Host, rng: Random, counts: Counts, group_load: dict[int, int]) -> None:
+    def __init__(self, host: Host, rng: Random, counts: Counts, group_load: dict[int, int],
+                 homes_of: Callable[[int], list[Server]]) -> None:
         self._host = host
         self._rng = rng
         self._counts = counts
         self._group_load = group_load
+        self._homes_of = homes_of
 
     def evacuate(self, server: Server, why: str) -> None:
         if server.open:
@@ -614,6 +616,8 @@
             return
         # Past all it can do a server serves none of its connections well, so it sheds even where the fleet is full.
         if pressure <= max(HOT, min(EVEN * mean, FULL + 0.1)):
+            if pressure > ROOM:
+                self._gather(now, server)
             return
         target = max(ROOM, min(mean, HOT))
         part = MOVE_PART * (pressure - target) / pressure
@@ -633,6 +637,21 @@
         server.rest_until = now + MOVE_REST
         self._host.log(f"server {server.id} hot at {pressure:.2f}: moved {moved} of {len(own)}")
 
+    def _gather(self, now: int, server: Server) -> None:
+        """Moves the smallest remnant of a group whose homes are elsewhere, where that frees more than it moves."""
+        size = self._counts.capacity(server) or 0.0
+        small = [(count, group) for group, count in server.groups.items() if count <= GROUP_MARGIN * size]
+        for _, group in sorted(small):
+            homes = self._homes_of(group)
+            if server in homes or not any((self._counts.projected(home) or 0.0) < HOT for home in homes):
+                continue
+            leaving = [login for login, held in server.open.items() if held.login.group == group]
+            for login in leaving:
+                self._host.move(login)
+            server.rest_until = now + MOVE_REST
+            self._host.log(f"server {server.id} crowded at {server.pressure:.2f}: moved a group's last {len(leaving)}")
+            return
+
     def _remnant(self, server: Server, held: Held) -> int:
         """How many of a connection's group stand here, where more of it stand elsewhere; else a large number."""
         group = held.login.group
@@ -692,7 +711,7 @@
                           crossing_price)
         self._admission = Admission(self._counts, workloads, tenants, balancers, per_work)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
-        self._moves = Moves(host, rng, self._counts, self._draw.group_load)
+        self._moves = Moves(host, rng, self._counts, self._draw.group_load, self._draw.homes_of)
         self._list = ListFollowing(host, rng, ask_for_list, ask_within)
         first = self._list.first_wait()
         if first is not None:
