--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -34,6 +34,7 @@
 STRIKES_KEPT = 10_000  # clients
 RESERVE = 0.1  # of what a server can do, kept for logins that bring more importance for their load
 DEAR_CROSSING = 0.01  # of a login's worth: a crossing of zones that costs more is avoided while there is room
+REMNANT = 2  # own connections of a group on a server that are still a remnant
 ALIKE = 4  # balancers, this one too, that are taken to place alike
 GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
@@ -98,6 +99,7 @@
         self.cold_spent = 0.0
         self.cold_at = 0
         self.rest_until = 0
+        self.gather_rest = 0
 
 
 class Attempt:
@@ -616,7 +618,7 @@
             return
         # Past all it can do a server serves none of its connections well, so it sheds even where the fleet is full.
         if pressure <= max(HOT, min(EVEN * mean, FULL + 0.1)):
-            if pressure > ROOM:
+            if pressure > ROOM and now >= server.gather_rest:
                 self._gather(now, server)
             return
         target = max(ROOM, min(mean, HOT))
@@ -639,16 +641,15 @@
 
     def _gather(self, now: int, server: Server) -> None:
         """Moves the smallest remnant of a group whose homes are elsewhere, where that frees more than it moves."""
-        size = self._counts.capacity(server) or 0.0
-        small = [(count, group) for group, count in server.groups.items() if count <= GROUP_MARGIN * size]
+        small = [(count, group) for group, count in server.groups.items() if count <= REMNANT]
         for _, group in sorted(small):
             homes = self._homes_of(group)
-            if server in homes or not any((self._counts.projected(home) or 0.0) < HOT for home in homes):
+            if server in homes or not any((self._counts.projected(home) or 0.0) < FULL - GROUP_MARGIN for home in homes):
                 continue
             leaving = [login for login, held in server.open.items() if held.login.group == group]
             for login in leaving:
                 self._host.move(login)
-            server.rest_until = now + MOVE_REST
+            server.gather_rest = now + MOVE_REST
             self._host.log(f"server {server.id} crowded at {server.pressure:.2f}: moved a group's last {len(leaving)}")
             return
 
