--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -177,6 +177,7 @@
         self.mean_pressure = 0.0
         self._weigh_at = 0
         self._since = 0.0
+        self._room_power = 1.0  # of all servers that are not full
 
     def take(self, now: int, server: Server, report: Report) -> None:
         server.count, server.pressure = report.count, report.pressure
@@ -201,7 +202,7 @@
         self.typical = sum(sizes) / len(sizes) if sizes else 1.0
         weights = [server.weight for server in ready if server.weight > 0]
         mean_weight = sum(weights) / len(weights) if weights else 1.0
-        asked = power = 0.0
+        asked = power = room = 0.0
         for server in ready:
             size = self.capacity(server)
             if size is not None:
@@ -211,6 +212,8 @@
             if server.pressure is not None and self.fresh(now, server):
                 asked += server.pressure * server.power
                 power += server.power
+                room += server.power if server.pressure < FULL else 0.0
+        self._room_power = max(room, 1.0)
         self.mean_pressure = asked / power if power else 0.0
 
     def capacity(self, server: Server) -> float | None:
@@ -237,14 +240,13 @@
         """Pressure with placements since: own ones, and those that the other balancers are taken to have made.
 
         Guards against a flood of returning clients (a drain, a reconnect), of which each balancer sees its part:
-        a few others are held to do as this one did, the rest, too many to guess so, spread over the fleet.
         """
         if server.pressure is None:
             return None
         size = self.capacity(server)
         if not size:
             return server.pressure
-        spread = self._since * server.power / max(1, len(self._roster.ready))
+        spread = self._since * min(1.0, server.power / self._room_power)
         alike = min(self._balancers, ALIKE)
         return server.pressure + (alike * server.since + (self._balancers - alike) * spread) / size
 
