--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -619,7 +619,7 @@
         if pressure is None or now < server.rest_until or not server.open:
             return
         # Past all it can do a server serves none of its connections well, so it sheds even where the fleet is full.
-        if pressure <= max(HOT, min(EVEN * mean, FULL)):
+        if pressure <= max(HOT, min(EVEN * mean, FULL + 0.1)):
             if pressure > ROOM and now >= server.gather_rest:
                 self._gather(now, server)
             return
