--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -624,7 +624,7 @@
                 self._gather(now, server)
             return
         target = max(ROOM, min(mean, HOT))
-        part = (1.0 if pressure > FULL else MOVE_PART) * (pressure - target) / pressure
+        part = (1.0 if pressure > 1.0 else MOVE_PART) * (pressure - target) / pressure
         # Remnants of groups that live elsewhere go first, the smallest before all: each takes the group's cost along.
         own = sorted(server.open.values(), key=lambda held: (self._remnant(server, held), -held.load))
         excess = part * sum(held.load for held in own)
