--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -157,6 +157,87 @@
     assert 3 not in {scene.login(n, group=77) for n in range(20, 30)}
 
 
+def test_a_busy_server_that_misses_probes_is_not_emptied_at_once():
+    # Guards against taking a crowded server, whose probes wait in its queue, for a lost one.
+    scene = ready(0, 0)
+    held = next(n for n in range(1, 50) if scene.login(n) == 2)
+    scene.stands(held)
+    scene.auto = {1: Report(5, 0.5), 2: Report(9, 0.9)}
+    scene.run(1000)
+    scene.lines.clear()
+    scene.auto[2] = Outcome.TIMED_OUT
+    scene.run(1500)
+    scene.auto[2] = Report(9, 0.8)
+    scene.run(1000)
+    assert not [line for line in scene.lines if "move" in line or "just started" in line]
+
+
+def test_servers_with_much_room_are_probed_half_as_often():
+    scene = ready(1, 1)
+    scene.auto = {1: Report(5, 0.2), 2: Report(9, 0.8)}
+    scene.run(3000)
+    asked, probe = Counter(), scene.probe
+    scene.probe = lambda server: (asked.update([server]), probe(server))
+    scene.run(20_000)
+    assert asked[1] == 10 and asked[2] == 20
+
+
+def test_dear_crossings_keep_new_logins_near():
+    for price, places in ((0.03, {1}), (0.005, {1, 2})):
+        scene = Scene(crossing_price=price)
+        scene.listed(1, zone=0)
+        scene.listed(2, scope=Scope.DELTA, zone=1)
+        scene.auto = {1: Report(90, 0.3), 2: Report(60, 0.2)}
+        scene.run(1500)
+        assert {scene.login(n) for n in range(1, 12)} == places
+
+
+def test_a_client_that_broke_crowded_servers_needs_more_room():
+    # Guards against a giant connection that topples one server after the other.
+    scene = ready(0)
+    scene.auto[1] = Report(20, 0.75)
+    scene.run(1000)
+    for number in (1, 2):
+        scene.login(number, subject=5)
+        scene.stands(number)
+        scene.ends(number, Outcome.BROKEN, closed=True)
+    assert scene.login(3, subject=5) is None
+    assert scene.login(4, subject=6) == 1
+
+
+def test_room_is_kept_for_logins_of_more_importance():
+    works = [Workload("a", 5.0, 800 * MS, 3200 * MS), Workload("b", 1.0, 800 * MS, 3200 * MS)]
+    scene = ready(0, workloads=works, per_work=True)
+    scene.auto[1] = Report(80, 0.8)
+    scene.run(1000)
+    assert scene.login(1, workload=1) is None
+    assert scene.login(2, workload=0) == 1
+
+
+def test_a_crowded_server_sends_a_remnant_home():
+    # Guards against groups that scatter until every server pays for every group.
+    scene = ready(5, 5, 5, grouped=True)
+    for number, (group, server) in enumerate([(7, 1)] * 3 + [(7, 2)] + [(8, 2)] * 6 + [(9, 3)] * 6, 900):
+        scene.balancer.connection_carried(scene.now, Login(number, 0, 0, 0, 0, None, group), server)
+    scene.auto = {1: Report(6, 0.4), 2: Report(7, 0.8), 3: Report(6, 0.6)}
+    scene.run(1500)
+    scene.check("remnant")
+
+
+@pytest.mark.parametrize("settings, servers", [
+    (dict(balancers=1, probes_allowed=False), [1]), (dict(max_hand_offs=1), [1, 2]), (dict(), [])])
+def test_settings_never_seen_still_answer_every_login(settings, servers):
+    scene = Scene(**settings)
+    scene.listed(*servers)
+    for number in range(1, 30):
+        if scene.login(number) is not None:
+            scene.ends(number, Outcome.TIMED_OUT)
+    answers = Counter(line.split()[2] for line in scene.lines if line.split()[1] in ("bounce", "terminate"))
+    open_ones = set(scene.balancer._held)
+    assert all(count == 1 for count in answers.values())
+    assert {int(login) for login in answers} | open_ones == set(range(1, 30))
+
+
 def test_a_broken_list_watch_is_asked_for_again_spread_out():
     scene = Scene(ask_for_list=True)
     scene.run(1000)
