--- a/corklift/benchlink/settings.py
+++ b/corklift/benchlink/settings.py
@@ -32,7 +32,7 @@
     return value
 
 
-def _workload(item: dict[str, Any], where: str) -> Workload:
+def _workload(item: dict[str, Any], where: str, message_limit: Any) -> Workload:
     effect = _need(item, "effect", where, "pure")
     if effect not in EFFECTS:
         raise BadSettings(f"settings: {where}effect holds {effect!r}")
@@ -48,6 +48,7 @@
         effect=EFFECTS[effect],
         reach=reach,
         dedup_window=int(_number(item, "dedup-window-ns", where, 0)),
+        message_limit=int(message_limit),
     )
 
 
@@ -63,6 +64,7 @@
     items = _need(top, "workloads", "")
     if not isinstance(items, list) or not items:
         raise BadSettings("settings: workloads is empty")
+    limits = dict(enumerate(_need(family, "message-aim-ns", "family-info.", [])))
     balancers = int(_number(top, "balancers", "", 1, least=1))
     names: list[str | None] = []
     for field in _need(_need(top, "report", "", {}), "fields", "report.", []):
@@ -73,7 +75,7 @@
     arguments = dict(
         zone=int(_number(top, "zone", "", 0)),
         balancers=balancers,
-        workloads=[_workload(item, f"workloads[{at}].") for at, item in enumerate(items)],
+        workloads=[_workload(item, f"workloads[{at}].", limits.get(at, 0)) for at, item in enumerate(items)],
         tenants=[
             Tenant(str(item.get("name", "")), _number(item, "share", f"tenants[{at}].", 0),
                    _number(item, "quota-per-s", f"tenants[{at}].", 0))
--- a/corklift/interface.py
+++ b/corklift/interface.py
@@ -67,6 +67,7 @@
     effect: Effect = Effect.REPEATABLE
     reach: Reach = Reach.ALL
     dedup_window: int = 0
+    message_limit: int = 0  # within which a message on an open connection is wanted; 0: not told
 
 
 class Tenant(NamedTuple):
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -35,6 +35,7 @@
 RESERVE = 0.1  # of what a server can do, kept for logins that bring more importance for their load
 DEAR_CROSSING = 0.01  # of a login's worth: a crossing of zones that costs more is avoided while there is room
 REMNANT = 2  # own connections of a group on a server that are still a remnant
+NOTE_LASTS = 3 * PROBE_PERIOD // 2  # a note of late messages comes once a second while they are late
 ALIKE = 4  # balancers, this one too, that are taken to place alike
 GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
@@ -95,6 +96,8 @@
         self.trial = 0
         self.silent = 0
         self.full_until = 0
+        self.delay = 0.0  # how long messages take there, as last noted, and when
+        self.delay_at = -SECOND * 3600
         self.probing = 0
         self.cold_spent = 0.0
         self.cold_at = 0
@@ -342,7 +345,8 @@
     """The design's random draw, and the narrowing of who takes part in it."""
 
     def __init__(self, rng: Random, roster: Roster, counts: Counts, health: Health, cold: ColdBudget,
-                 grouped: bool, zone: int, crossing_price: float) -> None:
+                 grouped: bool, zone: int, crossing_price: float, message_limit: int) -> None:
+        self._message_limit = message_limit
         self._zone = zone
         self._crossing_price = crossing_price
         self._rng = rng
@@ -367,8 +371,12 @@
         return (self._crossing_price > DEAR_CROSSING and not login.came_back
                 and self._counts.mean_pressure < ROOM - GROUP_MARGIN)
 
+    def _late(self, now: int, server: Server, part: float) -> bool:
+        """Whether messages there took more than this part of the shortest message limit, by a recent note."""
+        return now - server.delay_at < NOTE_LASTS and server.delay > part * self._message_limit > 0
+
     def has_room(self, now: int, server: Server) -> bool:
-        if now < server.full_until:
+        if now < server.full_until or self._late(now, server, 0.5):
             return False
         pressure = self._counts.projected(server)
         return pressure is None or pressure < self.room_limit()
@@ -386,7 +394,8 @@
             return self._rng.choice(well)
         # Guards against a standing overload: what is piled up on a full server spoils all its connections.
         limit = FULL - self._caution(now, held.login.subject) - held.reserve
-        fresh = [s for s in fresh if now >= s.full_until and (self._counts.projected(s) or 0.0) < limit]
+        fresh = [s for s in fresh if now >= s.full_until and not self._late(now, s, 1.0)
+                 and (self._counts.projected(s) or 0.0) < limit]
         if not fresh:
             return None
         roomy = [s for s in fresh if self.has_room(now, s)]
@@ -711,7 +720,7 @@
         self._health = Health(host, rng)
         self._cold = ColdBudget(cold, balancers, self._counts)
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
-                          crossing_price)
+                          crossing_price, min((w.message_limit for w in workloads if w.message_limit), default=0))
         self._admission = Admission(self._counts, workloads, tenants, balancers, per_work)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
         self._moves = Moves(host, rng, self._counts, self._draw.group_load, self._draw.homes_of)
@@ -751,7 +760,9 @@
 
     def hand_off_noted(self, now: int, login: int, attempt: int, server: int, kind: NoteKind, value: float) -> None:
         held = self._held.get(login)
-        if held is not None and kind is NoteKind.LOAD:
+        if kind is NoteKind.DELAY and server in self._roster.servers:
+            self._roster.servers[server].delay, self._roster.servers[server].delay_at = value, now
+        elif held is not None and kind is NoteKind.LOAD:
             held.load = self._like(value)
             self._admission.saw_load(held.login.workload, held.load)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,7 +5,7 @@
 import pytest
 from scene import MS, Scene
 
-from corklift.interface import Effect, Login, Outcome, Reach, Report, Scope, Status, Workload
+from corklift.interface import Effect, Login, NoteKind, Outcome, Reach, Report, Scope, Status, Workload
 
 
 def ready(*counts, **settings) -> Scene:
@@ -258,3 +258,13 @@
     scene.balancer.login_dropped(scene.now, 6)
     scene.check("ended")
     assert not scene.balancer._held
+
+
+def test_a_server_noted_late_with_messages_gets_nothing_new_for_a_while():
+    # Guards against filling a server whose reports look fine while its messages already lag.
+    scene = ready(0, 9, workloads=[Workload("w", 1.0, 800 * MS, 3200 * MS, message_limit=100 * MS)])
+    scene.login(1)
+    scene.balancer.hand_off_noted(scene.now, 1, 0, 1, NoteKind.DELAY, 150 * MS)
+    assert {scene.login(n) for n in range(2, 20)} == {2}
+    scene.run(2000)
+    assert 1 in {scene.login(n) for n in range(20, 50)}
