--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -609,8 +609,7 @@
     """The exception to kept placements: off a lost or draining server, and off a hot one in bounded steps."""
 
     def __init__(self, host: Host, rng: Random, counts: Counts, group_load: dict[int, int],
-                 homes_of: Callable[[int], list[Server]], message_limit: int) -> None:
-        self._message_limit = message_limit
+                 homes_of: Callable[[int], list[Server]]) -> None:
         self._host = host
         self._rng = rng
         self._counts = counts
@@ -629,12 +628,11 @@
         if pressure is None or now < server.rest_until or not server.open:
             return
         # Past all it can do a server serves none of its connections well, so it sheds even where the fleet is full.
-        late = now - server.delay_at < NOTE_LASTS and server.delay > self._message_limit > 0
-        if pressure <= max(HOT, min(EVEN * mean, FULL + 0.1)) and not (late and pressure > ROOM):
+        if pressure <= max(HOT, min(EVEN * mean, FULL + 0.1)):
             if pressure > ROOM and now >= server.gather_rest:
                 self._gather(now, server)
             return
-        target = max(ROOM, min(mean, HOT)) if pressure > HOT else ROOM
+        target = max(ROOM, min(mean, HOT))
         part = (1.0 if pressure > 1.0 else MOVE_PART) * (pressure - target) / pressure
         # Remnants of groups that live elsewhere go first, the smallest before all: each takes the group's cost along.
         own = sorted(server.open.values(), key=lambda held: (self._remnant(server, held), -held.load))
@@ -721,13 +719,11 @@
         self._counts = Counts(self._roster, balancers, weight_varies)
         self._health = Health(host, rng)
         self._cold = ColdBudget(cold, balancers, self._counts)
-        message_limit = min((w.message_limit for w in workloads if w.message_limit), default=0)
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
-                          crossing_price, message_limit)
+                          crossing_price, min((w.message_limit for w in workloads if w.message_limit), default=0))
         self._admission = Admission(self._counts, workloads, tenants, balancers, per_work)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
-        self._moves = Moves(host, rng, self._counts, self._draw.group_load, self._draw.homes_of,
-                            message_limit)
+        self._moves = Moves(host, rng, self._counts, self._draw.group_load, self._draw.homes_of)
         self._list = ListFollowing(host, rng, ask_for_list, ask_within)
         first = self._list.first_wait()
         if first is not None:
