--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -424,7 +424,7 @@
         Guards against one giant connection that topples a server, breaks, and comes back to topple the next.
         """
         strikes, at = self._strikes.get(subject, (0, 0))
-        if not strikes or now - at > strikes * CAUTION_TIME:
+        if strikes < 2 or now - at > strikes * CAUTION_TIME:
             return 0.0
         return CAUTION * strikes
 
