--- a/corklift/benchlink/settings.py
+++ b/corklift/benchlink/settings.py
@@ -88,9 +88,8 @@
             multiple=_number(rules, "fall-multiple", "rules.", 2.0),
             span=int(_number(rules, "fall-ns", "rules.", 1_000_000_000)),
         ),
-        answer_slack=int(_number(rules, "answer-slack-ns", "rules.", 0)),
         max_hand_offs=int(_number(allow, "max-hand-offs", "permissions.", 1, least=1)),
-        connect_limit=int(_number(allow, "connect-timeout-ns", "permissions.", 0)),
+        cancel_allowed=bool(_need(allow, "cancelling", "permissions.", False)),
         max_retry_after=int(_number(allow, "max-retry-after-ns", "permissions.", 0))
         if _need(allow, "retry-after", "permissions.", False) else 0,
         probes_allowed=bool(_need(allow, "probes", "permissions.", False)),
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -703,13 +703,16 @@
     """One balancer's decisions. One method for each thing that can happen."""
 
     def __init__(self, host: Host, rng: Random, *, now: int, zone: int, balancers: int, workloads: list[Workload],
-                 tenants: list[Tenant], per_work: bool, cold: ColdRule, answer_slack: int, max_hand_offs: int,
-                 connect_limit: int, max_retry_after: int, probes_allowed: bool, ask_for_list: bool,
+                 tenants: list[Tenant], per_work: bool, cold: ColdRule, max_hand_offs: int,
+                 cancel_allowed: bool, max_retry_after: int, probes_allowed: bool, ask_for_list: bool,
                  ask_within: int, grouped: bool, weight_varies: bool, memory: int,
                  crossing_price: float) -> None:
         self._host = host
         self._rng = rng
         self._probes_allowed = probes_allowed
+        self._cancel_allowed = cancel_allowed
+        self._remembers = memory > 0
+        self._where: dict[int, int] = {}  # the server that holds a client's connection, where packets pass through
         self._max_retry_after = max_retry_after
         self._held: dict[int, Held] = {}
         self._cost_sum, self._cost_seen = 0.0, 0
@@ -793,7 +796,7 @@
         held = self._held.get(login)
         if held is not None:
             last = held.attempts[-1] if held.attempts else None
-            if last is not None and last.outcome is None and not held.is_open:
+            if last is not None and last.outcome is None and not held.is_open and self._cancel_allowed:
                 self._host.cancel(login, len(held.attempts) - 1)
             self._forget(held)
 
@@ -873,7 +876,7 @@
         if not self._hand_offs.may_send(now, held):
             self._give_up(held)
             return
-        server = self._draw.pick(now, held, self._hand_offs.allowed(held))
+        server = self._holder(now, held) or self._draw.pick(now, held, self._hand_offs.allowed(held))
         if server is None:
             self._give_up(held)
             return
@@ -885,6 +888,14 @@
         held.attempts.append(Attempt(server.id, now))
         self._host.hand_off(login, server.id, cut_at)
 
+    def _holder(self, now: int, held: Held) -> Server | None:
+        """The server that holds a connection whose packets now come this way, where that is known and ready."""
+        if not held.login.mid_flow or held.attempts:
+            return None
+        server = self._roster.servers.get(self._where.get(held.login.subject, 0))
+        ready = server is not None and server.status is Status.READY
+        return server if ready and self._cold.allows(now, server, held.load) else None
+
     def _judge(self, now: int, server: Server, login: int, outcome: Outcome) -> None:
         if outcome is Outcome.FULL:
             server.full_until = now + PROBE_PERIOD // 2
@@ -901,6 +912,8 @@
         self._draw.count_group(held, known, 1)
         if known is not None:
             known.open[held.login.login] = held
+            if self._remembers and held.login.subject:
+                self._where[held.login.subject] = server
 
     def _give_up(self, held: Held) -> None:
         login = held.login.login
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -268,3 +268,12 @@
     assert {scene.login(n) for n in range(2, 20)} == {2}
     scene.run(2000)
     assert 1 in {scene.login(n) for n in range(20, 50)}
+
+
+def test_packets_of_an_open_connection_go_to_the_server_that_holds_it():
+    scene = ready(0, 0, 0, 0, memory=4000 * MS, cancel_allowed=False)
+    first = scene.login(1, subject=5)
+    scene.stands(1)
+    assert {scene.login(n, subject=5, mid_flow=True) for n in range(2, 12)} == {first}
+    scene.balancer.login_dropped(scene.now, 2)
+    assert not [line for line in scene.lines if "cancel" in line]  # not where settings forbid it
