--- a/corklift/benchlink/codec.py
+++ b/corklift/benchlink/codec.py
@@ -94,7 +94,7 @@
         try:
             fields = layout.unpack_from(body, at + 1)
         except StructError:
-            raise BadFrame(f"batch {batch.number}: record {index} ({NAMES[code]}) at byte {at} is cut off") from None
+            raise BadFrame(_cut_off(batch, index, code, at)) from None
         start = at
         at += 1 + layout.size
         content = b""
@@ -103,13 +103,17 @@
             size = fields[place] * width
             content = body[at:at + size]
             if len(content) < size:
-                raise BadFrame(f"batch {batch.number}: record {index} ({NAMES[code]}) at byte {start} is cut off")
+                raise BadFrame(_cut_off(batch, index, code, start))
             at += size
         yield code, fields, content
     if at != end:
         raise BadFrame(f"batch {batch.number}: {end - at} bytes left over at byte {at}")
 
 
+def _cut_off(batch: Batch, index: int, code: int, at: int) -> str:
+    return f"batch {batch.number}: record {index} ({NAMES[code]}) at byte {at} is cut off"
+
+
 def entries(content: bytes) -> tuple[Listed, ...]:
     return tuple(
         Listed(server, zone, kind, cell, Status(state), weight, started)
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -2,7 +2,7 @@
 
 How to call it: make one `Balancer` an instance, with a `Host` to act on, a `random.Random` of its own and the
 settings in our words; then call the method named for each thing that happens, with the host's clock. All
-actions are calls on the host, made before the method returns. The interface stands in `corklift/interface.py`.
+actions are calls on the host, made before the method returns. The interface: `corklift/interface.py`.
 
 The ordinary path is the design's: each ready server is probed for its open-connection count about once a
 second at a random phase, and a login's server is drawn with chance proportional to 1/(count + 1), own
@@ -14,12 +14,12 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from corklift.interface import (ColdRule, Effect, Host, Listed, Login, NoteKind, Outcome, Reach, Report, Scope,
-                                Status, Tenant, Workload)
+from corklift.interface import (ColdRule, Effect, Host, Listed, Login, NoteKind, Outcome, Reach, Report,
+                                Scope, Status, Tenant, Workload)
 
 SECOND = 1_000_000_000
 PROBE_PERIOD = SECOND  # the design's "about once a second"
-CALM_PERIOD = 2 * PROBE_PERIOD  # for a server with much room: probes are paid for, and little hangs on its count
+CALM_PERIOD = 2 * PROBE_PERIOD  # for a server with much room: probes are paid for
 CALM = 0.5  # of what a server can do: below it a server has much room
 AGE_LIMIT = 3 * PROBE_PERIOD  # the design's 3 s: a count older than this leaves the draw
 REPORT_LAG = PROBE_PERIOD  # a report may miss placements made this long before it came
@@ -28,7 +28,7 @@
 EVEN = 1.15  # times the fleet's mean pressure: a fleet that is full all over has no hot server
 MOVE_REST = 5 * PROBE_PERIOD // 2  # until a move shows in the reports
 MOVE_PART = 0.5  # of the excess that goes in one step, each balancer its own part of it
-GROUP_SPREAD = 1.15  # times a group's share of the load: the part of the fleet's power that it may spread over
+GROUP_SPREAD = 1.15  # times a group's share of the load: the part of the power it may spread over
 CAUTION = 0.1  # of what a server can do, more room for each break under load ...
 CAUTION_TIME = 4 * PROBE_PERIOD  # ... remembered this long for each
 STRIKES_KEPT = 10_000  # clients
@@ -194,7 +194,7 @@
             size = server.count / server.pressure
             server.capacity.add(size)
             self._kinds.setdefault(server.kind, Histogram()).add(size)
-        # Guards against CPU growing with the square of the fleet: weighed a few times a period, not each report.
+        # Guards against CPU growing with the square of the fleet: weighed ten times a second at most.
         if now >= self._weigh_at:
             self._weigh_at = now + PROBE_PERIOD // 10
             self._weigh(now)
@@ -240,9 +240,9 @@
         self._since -= load
 
     def projected(self, server: Server) -> float | None:
-        """Pressure with placements since: own ones, and those that the other balancers are taken to have made.
+        """Pressure with placements since: own ones, and those taken to be made by the other balancers.
 
-        Guards against a flood of returning clients (a drain, a reconnect), of which each balancer sees its part:
+        Guards against a flood of returning clients (a drain, a reconnect): each balancer sees its part, so
         """
         if server.pressure is None:
             return None
@@ -254,7 +254,7 @@
         return server.pressure + (alike * server.since + (self._balancers - alike) * spread) / size
 
     def per_power(self, server: Server, mean: float) -> float:
-        """Connections of like cost a unit of power: the design's count for servers and logins unlike each other."""
+        """Connections of like cost a unit of power: the design's count, for unlike servers and logins."""
         if server.pressure is not None:
             known = server.pressure * self.typical
         elif server.count is not None:
@@ -294,7 +294,8 @@
             server.bars = min(server.bars + 1, 3)
             server.barred_until = now + int(PROBE_PERIOD * (1 << server.bars) * self._rng.uniform(0.75, 1.25))
             if server.fails == FAILS_IN_ROW:
-                self._host.log(f"server {server.id} out of the draw: {server.fails} hand-offs failed in a row")
+                self._host.log(f"server {server.id} out of the draw: "
+                               f"{server.fails} hand-offs failed in a row")
 
     def worked(self, server: Server, login: int) -> None:
         if server.fails >= FAILS_IN_ROW:
@@ -524,13 +525,14 @@
 
     def reserve(self, held: Held) -> float:
         """How much of a server is kept from this login for ones that bring more importance for their load."""
-        own, yields = self._yield_of(held.login.workload), list(map(self._yield_of, range(len(self._workloads))))
+        own = self._yield_of(held.login.workload)
+        yields = [self._yield_of(workload) for workload in range(len(self._workloads))]
         known = [value for value in yields if value]
         lesser = 1.0 - own / max(known) if own is not None and len(known) == len(yields) else 0.0
         return RESERVE * lesser
 
     def surplus(self, now: int, login: Login) -> bool:
-        """Whether this login lies beyond its tenant's share of this balancer's part, over about two seconds."""
+        """Whether a login lies beyond its tenant's share, this balancer's part of it, over two seconds."""
         if login.came_back or login.tenant >= len(self._rates) or not self._rates[login.tenant]:
             return False
         tenant, rate = login.tenant, self._rates[login.tenant]
@@ -627,14 +629,14 @@
         pressure, mean = server.pressure, self._counts.mean_pressure
         if pressure is None or now < server.rest_until or not server.open:
             return
-        # Past all it can do a server serves none of its connections well, so it sheds even where the fleet is full.
+        # Past all it can do a server serves none of its connections well: it sheds in a full fleet too.
         if pressure <= max(HOT, min(EVEN * mean, FULL + 0.1)):
             if pressure > ROOM and now >= server.gather_rest:
                 self._gather(now, server)
             return
         target = max(ROOM, min(mean, HOT))
         part = (1.0 if pressure > 1.0 else MOVE_PART) * (pressure - target) / pressure
-        # Remnants of groups that live elsewhere go first, the smallest before all: each takes the group's cost along.
+        # Remnants of groups that live elsewhere go first: each takes the group's cost along.
         own = sorted(server.open.values(), key=lambda held: (self._remnant(server, held), -held.load))
         excess = part * sum(held.load for held in own)
         if self._rng.random() * own[-1].load > excess:
@@ -651,21 +653,23 @@
         self._host.log(f"server {server.id} hot at {pressure:.2f}: moved {moved} of {len(own)}")
 
     def _gather(self, now: int, server: Server) -> None:
-        """Moves the smallest remnant of a group whose homes are elsewhere, where that frees more than it moves."""
+        """Moves the smallest remnant of a group whose homes are elsewhere and have room."""
         small = [(count, group) for group, count in server.groups.items() if count <= REMNANT]
         for _, group in sorted(small):
             homes = self._homes_of(group)
-            if server in homes or not any((self._counts.projected(home) or 0.0) < FULL - GROUP_MARGIN for home in homes):
+            pressures = [self._counts.projected(home) or 0.0 for home in homes]
+            if server in homes or min(pressures, default=1.0) >= FULL - GROUP_MARGIN:
                 continue
             leaving = [login for login, held in server.open.items() if held.login.group == group]
             for login in leaving:
                 self._host.move(login)
             server.gather_rest = now + MOVE_REST
-            self._host.log(f"server {server.id} crowded at {server.pressure:.2f}: moved a group's last {len(leaving)}")
+            self._host.log(f"server {server.id} crowded at {server.pressure:.2f}: "
+                           f"moved a group's last {len(leaving)}")
             return
 
     def _remnant(self, server: Server, held: Held) -> int:
-        """How many of a connection's group stand here, where more of it stand elsewhere; else a large number."""
+        """How many of a connection's group stand here, if most stand elsewhere; else a large number."""
         group = held.login.group
         here, all_of_it = server.groups.get(group, 0), self._group_load.get(group, 0)
         return here if group and 2 * here < all_of_it else 1_000_000
@@ -702,8 +706,9 @@
 class Balancer:
     """One balancer's decisions. One method for each thing that can happen."""
 
-    def __init__(self, host: Host, rng: Random, *, now: int, zone: int, balancers: int, workloads: list[Workload],
-                 tenants: list[Tenant], per_work: bool, cold: ColdRule, max_hand_offs: int,
+    def __init__(self, host: Host, rng: Random, *, now: int, zone: int, balancers: int,
+                 workloads: list[Workload], tenants: list[Tenant], per_work: bool, cold: ColdRule,
+                 max_hand_offs: int,
                  cancel_allowed: bool, max_retry_after: int, probes_allowed: bool, ask_for_list: bool,
                  ask_within: int, grouped: bool, weight_varies: bool, memory: int,
                  crossing_price: float) -> None:
@@ -712,7 +717,7 @@
         self._probes_allowed = probes_allowed
         self._cancel_allowed = cancel_allowed
         self._remembers = memory > 0
-        self._where: dict[int, int] = {}  # the server that holds a client's connection, where packets pass through
+        self._where: dict[int, int] = {}  # the holder of a client's connection, where packets pass
         self._max_retry_after = max_retry_after
         self._held: dict[int, Held] = {}
         self._cost_sum, self._cost_seen = 0.0, 0
@@ -723,7 +728,8 @@
         self._health = Health(host, rng)
         self._cold = ColdBudget(cold, balancers, self._counts)
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
-                          crossing_price, min((w.message_limit for w in workloads if w.message_limit), default=0))
+                          crossing_price,
+                          min((w.message_limit for w in workloads if w.message_limit), default=0))
         self._admission = Admission(self._counts, workloads, tenants, balancers, per_work)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
         self._moves = Moves(host, rng, self._counts, self._draw.group_load, self._draw.homes_of)
@@ -761,7 +767,8 @@
         if held is not None and not held.is_open:
             self._opened(held, server)
 
-    def hand_off_noted(self, now: int, login: int, attempt: int, server: int, kind: NoteKind, value: float) -> None:
+    def hand_off_noted(self, now: int, login: int, attempt: int, server: int, kind: NoteKind,
+                       value: float) -> None:
         held = self._held.get(login)
         if kind is NoteKind.DELAY and server in self._roster.servers:
             self._roster.servers[server].delay, self._roster.servers[server].delay_at = value, now
@@ -802,7 +809,8 @@
 
     # Servers
 
-    def probe_answered(self, now: int, server: int, delay: int, outcome: Outcome, report: Report | None) -> None:
+    def probe_answered(self, now: int, server: int, delay: int, outcome: Outcome,
+                       report: Report | None) -> None:
         known = self._roster.servers.get(server)
         if known is None:
             return
@@ -889,7 +897,7 @@
         self._host.hand_off(login, server.id, cut_at)
 
     def _holder(self, now: int, held: Held) -> Server | None:
-        """The server that holds a connection whose packets now come this way, where that is known and ready."""
+        """The server that holds a connection whose packets now come this way, if known and ready."""
         if not held.login.mid_flow or held.attempts:
             return None
         server = self._roster.servers.get(self._where.get(held.login.subject, 0))
