--- a/corklift/benchlink/codec.py
+++ b/corklift/benchlink/codec.py
@@ -41,6 +41,7 @@
     UNDER_WAY: "UNDER_WAY", NEW_REQUEST: "NEW_REQUEST", TICK_DUE: "TICK_DUE", RESOLVED: "RESOLVED",
     NOTICE: "NOTICE",
 }
+STATUSES = {int(status): status for status in Status}
 VARIABLE = {MAIL: (1, 1), LEDGER: (1, ENTRY.size), START: (1, 1), CHECK_RESULT: (3, 4), RESOLVED: (6, 4)}
 
 
@@ -115,10 +116,12 @@
 
 
 def entries(content: bytes) -> tuple[Listed, ...]:
-    return tuple(
-        Listed(server, zone, kind, cell, Status(state), weight, started)
-        for server, zone, kind, cell, state, weight, started in ENTRY.iter_unpack(content)
-    )
+    listed = []
+    for index, (server, zone, kind, cell, state, weight, started) in enumerate(ENTRY.iter_unpack(content)):
+        if state not in STATUSES:
+            raise BadFrame(f"LEDGER: entry {index} at byte {index * ENTRY.size} of its entries has status {state}")
+        listed.append(Listed(server, zone, kind, cell, STATUSES[state], weight, started))
+    return tuple(listed)
 
 
 def report(content: bytes, names: tuple[str | None, ...]) -> Report | None:
