--- a/corklift/benchlink/codec.py
+++ b/corklift/benchlink/codec.py
@@ -119,7 +119,7 @@
     listed = []
     for index, (server, zone, kind, cell, state, weight, started) in enumerate(ENTRY.iter_unpack(content)):
         if state not in STATUSES:
-            raise BadFrame(f"LEDGER: entry {index} at byte {index * ENTRY.size} of its entries has status {state}")
+            raise BadFrame(f"LEDGER: entry {index}, byte {index * ENTRY.size} of the entries: status {state}")
         listed.append(Listed(server, zone, kind, cell, STATUSES[state], weight, started))
     return tuple(listed)
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -64,3 +64,9 @@
                           ({"workloads": [SETTINGS["workloads"][0] | {"time-limit-ns": -1}]}, b"time-limit-ns")):
         done = adapter(frame(1, 1, record(codec.SELECT, 0), start(SETTINGS | change)))
         assert done.returncode == 0 and words in done.stdout and done.stdout[11] == 4
+
+
+def test_an_unknown_list_status_is_told_with_its_place():
+    content = ENTRY.pack(1, 0, 0, 0, 1, 1.0, 0) + ENTRY.pack(2, 0, 0, 0, 9, 1.0, 0)
+    done = adapter(frame(1, 1, record(codec.LEDGER, 0, 2, content=content)))
+    assert done.returncode != 0 and done.stdout == b"" and b"entry 1, byte 23" in done.stderr
