Probe some servers where all cost too much; ask before a hand-off; cold parts by chance

Cause: hundreds of balancers with a login in some ten seconds each probed 20 to 95 servers every second or two, rounded their part of a cold server up to one connection, and chose groups' homes from the few connections that they hold. A login then asks the first servers of its group's order for their counts and is drawn among those with room. A cold part under one connection is a chance.

--- a/corklift/benchlink/settings.py
+++ b/corklift/benchlink/settings.py
@@ -98,6 +98,7 @@
         grouped=bool(_need(family, "groups", "family-info.", False)),
         weight_varies=_need(top, "weight-source", "", "none") == "live",
         crossing_price=_number(_need(top, "fees", "", {}), "cross-zone", "fees.", 0.0),
+        probe_price=_number(_need(top, "fees", "", {}), "probe", "fees.", 0.0),
         memory=int(_number(family, "park-ns", "family-info.", 0)),
     )
     return arguments, tuple(names)
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -45,6 +45,14 @@
 RESEND_PART = 0.3  # resends earned by each login; past failures that may be shared, the rest are bounced
 RESEND_MOST = 10.0  # resends that may be saved up
 FULL_FLEET = 0.9  # mean pressure beyond which surplus logins are bounced
+RATE_TIME = 10 * AGE_LIMIT  # over which own logins are counted
+DEAR_PROBING = 0.05  # of what logins are worth: where probing all servers costs more, only some are probed
+SOME_PROBING = 0.005  # of what logins are worth: what the standing probes of some servers may cost then
+ASK_FIRST = 3  # servers asked before a hand-off, twice as many in each further round, where only some are probed
+ASK_ROUNDS = 3
+JOIN_WITHIN = PROBE_PERIOD // 20  # a probe sent so lately is waited for, not sent again
+ASK_PART = 0.25  # of the soft limit, for the answers of one round
+HOMES = 2  # servers with room that a group's logins are drawn from, where only some are probed
 
 
 class Histogram:
@@ -103,6 +111,9 @@
         self.cold_at = 0
         self.rest_until = 0
         self.gather_rest = 0
+        self.asked_at = 0  # when a probe that is still unanswered was sent; 0: none
+        self.probed_at = 0  # when the last one was sent
+        self.askers: list[tuple[int, int]] = []  # logins that wait for its answer, and in which round
 
 
 class Attempt:
@@ -116,7 +127,8 @@
 class Held:
     """A login this balancer answers for, or the connection it became."""
 
-    __slots__ = ("login", "attempts", "is_open", "load", "surplus", "reserve")
+    __slots__ = ("login", "attempts", "is_open", "load", "surplus", "reserve", "round", "turn",
+                 "awaits", "turns")
 
     def __init__(self, login: Login, load: float) -> None:
         self.login, self.load = login, load
@@ -124,6 +136,9 @@
         self.is_open = False
         self.surplus = False
         self.reserve = 0.0  # of each server, kept from this login
+        self.round = 0  # of asking servers before a hand-off
+        self.turn, self.awaits = 0, 0  # which asking it was, and the answers it waits for
+        self.turns: dict[int, float] = {}  # its chance to be sent to each cold server, drawn once
 
 
 class Roster:
@@ -132,6 +147,7 @@
     def __init__(self) -> None:
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []
+        self.version = 0  # of who is ready
 
     def apply(self, now: int, scope: Scope, lines: Iterable[Listed]) -> tuple[list[Server], list[Server]]:
         """Takes the list in; returns (started, left): servers new or restarted, servers draining or gone."""
@@ -162,7 +178,9 @@
                     if server.status is Status.READY:
                         left.append(server)
                     server.status = Status.GONE
-        self.ready = [server for server in self.servers.values() if server.status is Status.READY]
+        if started or left:
+            self.version += 1
+            self.ready = [server for server in self.servers.values() if server.status is Status.READY]
         for server in [s for s in self.servers.values() if s.status is Status.GONE and not s.open]:
             del self.servers[server.id]
         return started, left
@@ -181,6 +199,8 @@
         self._weigh_at = 0
         self._since = 0.0
         self._room_power = 1.0  # of all servers that are not full
+        self.some_only = False  # only some servers are probed
+        self._recent: list[tuple[int, Server, int]] = []  # own placements, oldest first
 
     def take(self, now: int, server: Server, report: Report) -> None:
         server.count, server.pressure = report.count, report.pressure
@@ -216,6 +236,8 @@
                 asked += server.pressure * server.power
                 power += server.power
                 room += server.power if server.pressure < FULL else 0.0
+            elif self.some_only:
+                room += server.power
         self._room_power = max(room, 1.0)
         self.mean_pressure = asked / power if power else 0.0
 
@@ -227,12 +249,25 @@
 
     def fresh(self, now: int, server: Server) -> bool:
         """Ageing: a server unheard of for the age limit is dropped; a new one is given as long to answer."""
-        return now - (server.read_at or server.listed_at) <= AGE_LIMIT
+        limit = RATE_TIME if self.some_only else AGE_LIMIT
+        return now - (server.read_at or server.listed_at) <= limit
+
+    def heard(self, now: int, server: Server) -> bool:
+        """Whether its last report is about as recent as one of the ordinary probes."""
+        return server.read_at > 0 and now - server.read_at <= PROBE_PERIOD
+
+    def expire(self, now: int) -> None:
+        """Forgets placements that every report holds by now, where most servers are not heard of again soon."""
+        while self._recent and self._recent[0][0] <= now - 2 * REPORT_LAG:
+            _, server, login = self._recent.pop(0)
+            self.unplaced(server, login)
 
     def placed(self, now: int, server: Server, held: Held) -> None:
         server.placed[held.login.login] = (now, held.load)
         server.since += held.load
         self._since += held.load
+        if self.some_only:
+            self._recent.append((now, server, held.login.login))
 
     def unplaced(self, server: Server, login: int) -> None:
         _, load = server.placed.pop(login, (0, 0.0))
@@ -249,7 +284,9 @@
         size = self.capacity(server)
         if not size:
             return server.pressure
-        spread = self._since * min(1.0, server.power / self._room_power)
+        # One own login of many balancers' says nothing of the others; two at once say that a flood comes in.
+        flood = max(0.0, self._since - 1.0) if self.some_only else self._since
+        spread = flood * min(1.0, server.power / self._room_power)
         alike = min(self._balancers, ALIKE)
         return server.pressure + (alike * server.since + (self._balancers - alike) * spread) / size
 
@@ -271,12 +308,14 @@
 class Health:
     """Failures in a row take a server out of the draw; probes or one trial login bring it back."""
 
-    def __init__(self, host: Host, rng: Random) -> None:
+    def __init__(self, host: Host, rng: Random, counts: Counts) -> None:
         self._host = host
         self._rng = rng
+        self._counts = counts
 
     def in_draw(self, now: int, server: Server) -> bool:
-        if server.silent >= SILENT_IN_ROW - 1:
+        if server.silent >= SILENT_IN_ROW - 1 and (not self._counts.some_only or server.asked_at
+                                                   or now - server.probed_at <= AGE_LIMIT):
             return False
         return server.fails < FAILS_IN_ROW or (now >= server.barred_until and not server.trial)
 
@@ -307,13 +346,49 @@
         server.fails = server.silent = 0
 
 
+class Means:
+    """Whether this balancer can pay for probing every server, and how many it probes otherwise."""
+
+    def __init__(self, now: int, fee: float) -> None:
+        self._fee = fee
+        self._seen = 0.0  # logins, halved every RATE_TIME
+        self._at = now
+        self._last = [-RATE_TIME, -RATE_TIME]  # when the last two came
+
+    def login_seen(self, now: int) -> None:
+        self._seen = self._fade(now) + 1.0
+        self._at = now
+        self._last = [self._last[1], now]
+
+    def _fade(self, now: int) -> float:
+        return self._seen * 0.5 ** ((now - self._at) / RATE_TIME)
+
+    def rate(self, now: int) -> float:
+        """Own logins a second; connections held at the start count as logins of the time before."""
+        return 0.69 * self._fade(now) * SECOND / RATE_TIME
+
+    def many(self, now: int, span: int) -> bool:
+        """Whether more than one login came within the span."""
+        return now - self._last[0] < span
+
+    def some_only(self, now: int, servers: int) -> bool:
+        """Whether probing all of them, as seldom as the design allows, costs too much of what logins are worth."""
+        return servers * self._fee * SECOND > DEAR_PROBING * self.rate(now) * AGE_LIMIT
+
+    def probed(self, now: int, servers: int) -> int:
+        """How many servers to probe in an age limit, if not all."""
+        part = SOME_PROBING * self.rate(now) * AGE_LIMIT / SECOND / self._fee if self._fee else servers
+        return max(1, min(servers, int(part)))
+
+
 class ColdBudget:
     """This balancer's part of what a server that just started may be sent."""
 
-    def __init__(self, rule: ColdRule, balancers: int, counts: Counts) -> None:
+    def __init__(self, rule: ColdRule, balancers: int, counts: Counts, means: Means) -> None:
         self._rule = rule
         self._share = COLD_CARE / balancers
         self._counts = counts
+        self._means = means
 
     def is_cold(self, now: int, server: Server) -> bool:
         return bool(server.started_at) and now - server.started_at < self._rule.ramp
@@ -323,18 +398,27 @@
         return min(1.0, self._rule.start_share + (1 - self._rule.start_share) * age)
 
     def _refill(self, now: int, server: Server) -> float:
-        """Drains what was spent at the rate the server can take; returns the most that may stand."""
+        """Drains what was spent at the rate the server can take; returns this balancer's part of a span."""
         size = self._counts.capacity(server) or self._rule.ramp / self._rule.span
         rate = self._rule.multiple * self._part(now, server) * size / max(1, self._rule.ramp) * self._share
         server.cold_spent = max(0.0, server.cold_spent - rate * (now - server.cold_at))
         server.cold_at = now
-        return max(1.0, rate * self._rule.span)
+        return rate * self._rule.span
 
-    def allows(self, now: int, server: Server, load: float) -> bool:
+    def allows(self, now: int, server: Server, held: Held, rng: Random) -> bool:
         if not self.is_cold(now, server):
             return True
-        most = self._refill(now, server)
-        return server.cold_spent + min(load, most) <= most + 1e-9
+        part = self._refill(now, server)
+        most = max(1.0, part)
+        if server.cold_spent + min(held.load, most) > most + 1e-9:
+            return False
+        # Guards against hundreds of balancers that each round their part of one server up to a connection: a part
+        # of less is taken as a chance, by the logins this balancer places in a span. Of those that come back all
+        # balancers may have some at once, so a span is taken to hold one at least.
+        logins = self._means.rate(now) * self._rule.span / SECOND
+        if held.login.came_back or self._means.many(now, self._rule.span):
+            logins = max(1.0, logins)
+        return part >= logins or held.turns.setdefault(server.id, rng.random()) * logins < part
 
     def spend(self, now: int, server: Server, load: float) -> None:
         if self.is_cold(now, server):
@@ -360,6 +444,8 @@
         self.total_load = 0
         self._strikes: dict[int, tuple[int, int]] = {}  # a client's breaks under load, and when the last was
         self._homes: dict[int, int] = {}  # where a group's last connection was opened
+        self._orders: dict[int, list[Server]] = {}  # of the ready servers, for each group, and for which list
+        self._orders_of = 0
 
     def room_limit(self) -> float:
         return max(ROOM, self._counts.mean_pressure)
@@ -384,7 +470,7 @@
 
     def pick(self, now: int, held: Held, allowed: Callable[[Server], bool]) -> Server | None:
         tried = [attempt.server for attempt in held.attempts]
-        able = [s for s in self._roster.ready if allowed(s) and self._cold.allows(now, s, held.load)]
+        able = [s for s in self._roster.ready if allowed(s) and self._cold.allows(now, s, held, self._rng)]
         if not able:
             return None
         untried = [s for s in able if s.id not in tried] or able
@@ -393,10 +479,7 @@
         if not any(server.count is not None for server in fresh):
             # None has a count, or all would be dropped: the design's even draw over ready servers.
             return self._rng.choice(well)
-        # Guards against a standing overload: what is piled up on a full server spoils all its connections.
-        limit = FULL - self._caution(now, held.login.subject) - held.reserve
-        fresh = [s for s in fresh if now >= s.full_until and not self._late(now, s, 1.0)
-                 and (self._counts.projected(s) or 0.0) < limit]
+        fresh = [s for s in fresh if self._not_full(now, s, held)]
         if not fresh:
             return None
         roomy = [s for s in fresh if self.has_room(now, s)]
@@ -411,6 +494,60 @@
                 return None
         return self._weighted(roomy or fresh)
 
+    def _not_full(self, now: int, server: Server, held: Held) -> bool:
+        # Guards against a standing overload: what is piled up on a full server spoils all its connections.
+        limit = FULL - self._caution(now, held.login.subject) - held.reserve
+        return (now >= server.full_until and not self._late(now, server, 1.0)
+                and (self._counts.projected(server) or 0.0) < limit)
+
+    def _in_order(self, now: int, held: Held, allowed: Callable[[Server], bool]) -> list[Server]:
+        """Servers for a login where only some are probed: own holders of its group, then the group's order.
+
+        The order comes from the ids alone, so hundreds of balancers that never speak gather a group alike,
+        each with few of its connections. A login without a group has an order of its own, at random.
+        """
+        if self._orders_of != self._roster.version:
+            self._orders_of = self._roster.version
+            self._orders.clear()
+        group = held.login.group if self._grouped else 0
+        order = self._orders.get(group) if group else None
+        if order is None:
+            key = group or held.login.login
+            order = sorted(self._roster.ready, key=lambda s: _rank(key, s.id))
+            if group:
+                self._orders[group] = order
+        tried = [attempt.server for attempt in held.attempts]
+        near = self._stays_near(held.login)
+        able = [s for s in order if s.id not in tried and allowed(s) and self._health.in_draw(now, s)
+                and now >= s.full_until and not self._late(now, s, 0.5)
+                and self._cold.allows(now, s, held, self._rng)]
+        if group or near:
+            able.sort(key=lambda s: (group not in s.groups, near and s.zone != self._zone))
+        return able
+
+    def ask_or_pick(self, now: int, held: Held,
+                    allowed: Callable[[Server], bool]) -> tuple[list[Server], Server | None]:
+        """Where only some servers are probed: those to ask before this hand-off, or else the one drawn."""
+        self._counts.expire(now)
+        able = self._in_order(now, held, allowed)
+        wide = 2 if held.login.came_back else 1
+        while True:
+            first = able[:ASK_FIRST * wide << held.round]
+            roomy = [s for s in first if self._counts.heard(now, s) and self._not_full(now, s, held)
+                     and self.has_room(now, s)]
+            unheard = [s for s in first if not self._counts.heard(now, s)
+                       and (not s.asked_at or now - s.asked_at < JOIN_WITHIN)]
+            if len(roomy) >= HOMES * wide or (roomy and not unheard):
+                holders = [s for s in roomy if held.login.group in s.groups]
+                return [], self._weighted(holders or roomy[:HOMES * wide])
+            if held.round >= ASK_ROUNDS:
+                break
+            held.round += 1
+            if unheard:
+                return unheard, None
+        known = [s for s in able if self._counts.heard(now, s) and self._not_full(now, s, held)]
+        return [], self._weighted(known) if known else None
+
     def broke_under_load(self, now: int, held: Held, server: Server) -> None:
         """Notes a client whose connection broke on a crowded server; it may be what crowded it."""
         if held.login.subject and server.status is Status.READY and (server.pressure or 0.0) > ROOM:
@@ -711,9 +848,13 @@
                  max_hand_offs: int,
                  cancel_allowed: bool, max_retry_after: int, probes_allowed: bool, ask_for_list: bool,
                  ask_within: int, grouped: bool, weight_varies: bool, memory: int,
-                 crossing_price: float) -> None:
+                 crossing_price: float, probe_price: float) -> None:
         self._host = host
         self._rng = rng
+        self._workloads = workloads
+        self._listed = False
+        self._weighed: bool | None = None  # whether only some servers are probed
+        self._some: list[Server] = []  # the servers probed, where only some are
         self._probes_allowed = probes_allowed
         self._cancel_allowed = cancel_allowed
         self._remembers = memory > 0
@@ -725,8 +866,9 @@
         self._next_mark = 1
         self._roster = Roster()
         self._counts = Counts(self._roster, balancers, weight_varies)
-        self._health = Health(host, rng)
-        self._cold = ColdBudget(cold, balancers, self._counts)
+        self._health = Health(host, rng, self._counts)
+        self._means = Means(now, probe_price if probes_allowed else 0.0)
+        self._cold = ColdBudget(cold, balancers, self._counts, self._means)
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
                           crossing_price,
                           min((w.message_limit for w in workloads if w.message_limit), default=0))
@@ -743,6 +885,7 @@
     def login_arrived(self, now: int, login: Login) -> None:
         held = Held(login, self._like(login.cost))
         self._held[login.login] = held
+        self._means.login_seen(now)
         held.surplus = self._admission.surplus(now, login)
         if login.cost:
             self._admission.saw_load(login.workload, held.load)
@@ -754,6 +897,7 @@
 
     def connection_carried(self, now: int, login: Login, server: int) -> None:
         held = Held(login, self._like(login.cost))
+        self._means.login_seen(now)
         attempt = Attempt(server, now)
         held.attempts.append(attempt)
         self._held[login.login] = held
@@ -771,7 +915,10 @@
                        value: float) -> None:
         held = self._held.get(login)
         if kind is NoteKind.DELAY and server in self._roster.servers:
-            self._roster.servers[server].delay, self._roster.servers[server].delay_at = value, now
+            known = self._roster.servers[server]
+            known.delay, known.delay_at = value, now
+            if self._counts.some_only and not self._counts.heard(now, known):
+                self._ask(now, known)
         elif held is not None and kind is NoteKind.LOAD:
             held.load = self._like(value)
             self._admission.saw_load(held.login.workload, held.load)
@@ -814,8 +961,10 @@
         known = self._roster.servers.get(server)
         if known is None:
             return
+        known.asked_at = 0
         if outcome is Outcome.FULFILLED:
-            if known.silent and now - max(known.read_at, known.listed_at) > AGE_LIMIT:
+            quiet_for = now - max(known.read_at, known.listed_at)
+            if known.silent > int(self._counts.some_only) and quiet_for > AGE_LIMIT:
                 # Guards against pushing over a server that came back cold before the list says so.
                 known.started_at = max(known.started_at, now)
                 self._host.log(f"server {server} answers again: taken as just started")
@@ -826,10 +975,17 @@
         elif outcome in (Outcome.TIMED_OUT, Outcome.NOT_CONNECTED, Outcome.BROKEN):
             known.silent += 1
             if known.silent < SILENT_IN_ROW and known.status is Status.READY:
-                self._host.probe(server)
+                self._ask(now, known)
             # Guards against emptying a server that is only too busy to answer: that one is given longer.
             elif known.silent == (SILENT_IN_ROW if (known.pressure or 0.0) < HOT else 2 * SILENT_IN_ROW):
                 self._moves.evacuate(known, "silent")
+        askers, known.askers = known.askers, []
+        for login, turn in askers:
+            held = self._held.get(login)
+            if held is not None and held.awaits and held.turn == turn:
+                held.awaits -= 1
+                if not held.awaits:
+                    self._place(now, held)
 
     def servers_listed(self, now: int, scope: Scope, revision: int, lines: Iterable[Listed]) -> None:
         if scope is Scope.FAILED:
@@ -842,10 +998,12 @@
         started, left = self._roster.apply(now, scope, lines)
         for server in left:
             self._moves.evacuate(server, "drains" if server.status is Status.DRAINING else "is gone")
-        if self._probes_allowed:
-            for server in started:
-                server.probing += 1
-                self._schedule_probe(server, server.probing, int(self._rng.random() * PROBE_PERIOD))
+        if not self._listed and self._probes_allowed:
+            # Connections held at the start, which tell the rate of logins, come right after the first list.
+            self._after(0, self._weigh_means)
+        elif self._probes_allowed and started and not self._counts.some_only:
+            self._probe_all(started)
+        self._listed = True
 
     def peer_told(self, now: int, peer: int, content: bytes) -> None:
         """Nothing is said between balancers yet, so nothing is heard."""
@@ -863,10 +1021,52 @@
         self._timers[mark] = action
         self._host.set_timer(wait, mark)
 
+    def _probe_all(self, servers: list[Server]) -> None:
+        for server in servers:
+            server.probing += 1
+            self._schedule_probe(server, server.probing, int(self._rng.random() * PROBE_PERIOD))
+
+    def _weigh_means(self, now: int) -> None:
+        """Once an age limit: whether to probe all servers or some, and which."""
+        ready = self._roster.ready
+        some_only = self._means.some_only(now, len(ready))
+        if some_only != self._weighed:
+            if self._weighed is not None:
+                self._host.log(f"probing {'some' if some_only else 'all'} of {len(ready)} servers from now on")
+            self._weighed = some_only
+            self._counts.some_only = some_only
+            if not some_only:
+                self._probe_all(ready)
+        if some_only:
+            self._exchange(now)
+        self._after(int(AGE_LIMIT * self._rng.uniform(0.9, 1.1)), self._weigh_means)
+
+    def _exchange(self, now: int) -> None:
+        """Exchanges one of the servers probed for another at random, every second time for a holder of own ones."""
+        size = self._means.probed(now, len(self._roster.ready))
+        kept = [server for server in self._some if server.status is Status.READY]
+        self._rng.shuffle(kept)
+        self._some = kept[:size - 1]
+        holders = [server for server in self._roster.ready if server.open and server not in self._some]
+        others = [server for server in self._roster.ready if server not in self._some]
+        while others and len(self._some) < size:
+            chosen = self._rng.choice(holders if holders and self._rng.random() < 0.5 else others)
+            self._some.append(chosen)
+            others.remove(chosen)
+            holders = [server for server in holders if server is not chosen]
+        for server in self._some:
+            self._after(int(self._rng.random() * AGE_LIMIT),
+                        lambda at, server=server: self._ask(at, server))
+
+    def _ask(self, now: int, server: Server) -> None:
+        if server.status is Status.READY:
+            server.asked_at = server.probed_at = now
+            self._host.probe(server.id)
+
     def _schedule_probe(self, server: Server, turn: int, wait: int) -> None:
         def due(now: int) -> None:
-            if server.status is Status.READY and server.probing == turn:
-                self._host.probe(server.id)
+            if server.status is Status.READY and server.probing == turn and not self._counts.some_only:
+                self._ask(now, server)
                 calm = (server.pressure is not None and server.pressure < CALM and not server.silent
                         and not self._cold.is_cold(now, server))
                 self._schedule_probe(server, turn, CALM_PERIOD if calm else PROBE_PERIOD)
@@ -884,7 +1084,14 @@
         if not self._hand_offs.may_send(now, held):
             self._give_up(held)
             return
-        server = self._holder(now, held) or self._draw.pick(now, held, self._hand_offs.allowed(held))
+        server = self._holder(now, held)
+        if server is None and self._counts.some_only:
+            to_ask, server = self._draw.ask_or_pick(now, held, self._hand_offs.allowed(held))
+            if to_ask:
+                self._ask_first(now, held, to_ask)
+                return
+        elif server is None:
+            server = self._draw.pick(now, held, self._hand_offs.allowed(held))
         if server is None:
             self._give_up(held)
             return
@@ -894,15 +1101,31 @@
         self._counts.placed(now, server, held)
         cut_at = self._hand_offs.cut_at(now, held)
         held.attempts.append(Attempt(server.id, now))
+        held.round = 0
         self._host.hand_off(login, server.id, cut_at)
 
+    def _ask_first(self, now: int, held: Held, servers: list[Server]) -> None:
+        """Asks servers for their counts before a hand-off; who has not answered soon is passed over."""
+        turn = held.turn = held.turn + 1
+        held.awaits = len(servers)
+        for server in servers:
+            server.askers.append((held.login.login, turn))
+            if not server.asked_at:
+                self._ask(now, server)
+
+        def late(at: int) -> None:
+            if self._held.get(held.login.login) is held and held.awaits and held.turn == turn:
+                held.awaits = 0
+                self._place(at, held)
+        self._after(int(ASK_PART * self._workloads[held.login.workload].soft_limit), late)
+
     def _holder(self, now: int, held: Held) -> Server | None:
         """The server that holds a connection whose packets now come this way, if known and ready."""
         if not held.login.mid_flow or held.attempts:
             return None
         server = self._roster.servers.get(self._where.get(held.login.subject, 0))
         ready = server is not None and server.status is Status.READY
-        return server if ready and self._cold.allows(now, server, held.load) else None
+        return server if ready and self._cold.allows(now, server, held, self._rng) else None
 
     def _judge(self, now: int, server: Server, login: int, outcome: Outcome) -> None:
         if outcome is Outcome.FULL:
