--- a/corklift/benchlink/settings.py
+++ b/corklift/benchlink/settings.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any
 
-from corklift.interface import ColdRule, Effect, Reach, Tenant, Workload
+from corklift.interface import ColdRule, Effect, Reach, Workload
 
 EFFECTS = {"pure": Effect.REPEATABLE, "token": Effect.TAGGED, "side_effect": Effect.ONCE_ONLY}
 REPORT_FIELDS = {"inflight": "count", "util": "busy"}
@@ -76,11 +76,6 @@
         zone=int(_number(top, "zone", "", 0)),
         balancers=balancers,
         workloads=[_workload(item, f"workloads[{at}].", limits.get(at, 0)) for at, item in enumerate(items)],
-        tenants=[
-            Tenant(str(item.get("name", "")), _number(item, "share", f"tenants[{at}].", 0),
-                   _number(item, "quota-per-s", f"tenants[{at}].", 0))
-            for at, item in enumerate(_need(top, "tenants", "", []))
-        ],
         per_work=_need(top, "importance-per", "", "request") == "work",
         cold=ColdRule(
             start_share=_number(rules, "cold-from", "rules.", 0.3),
--- a/corklift/interface.py
+++ b/corklift/interface.py
@@ -70,12 +70,6 @@
     message_limit: int = 0  # within which a message on an open connection is wanted; 0: not told
 
 
-class Tenant(NamedTuple):
-    name: str
-    share: float
-    quota_per_s: float  # logins a second within its share, all balancers together
-
-
 class ColdRule(NamedTuple):
     start_share: float  # a server starts with at least this share of its capacity
     ramp: int  # and is warm after this
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -15,7 +15,7 @@
 from random import Random
 
 from corklift.interface import (ColdRule, Effect, Host, Listed, Login, NoteKind, Outcome, Reach, Report,
-                                Scope, Status, Tenant, Workload)
+                                Scope, Status, Workload)
 
 SECOND = 1_000_000_000
 PROBE_PERIOD = SECOND  # the design's "about once a second"
@@ -44,7 +44,6 @@
 FULL = 0.85  # of what a server can do: nothing new beyond it; a fleet with no server under it bounces
 RESEND_PART = 0.3  # resends earned by each login; past failures that may be shared, the rest are bounced
 RESEND_MOST = 10.0  # resends that may be saved up
-FULL_FLEET = 0.9  # mean pressure beyond which surplus logins are bounced
 RATE_TIME = 10 * AGE_LIMIT  # over which own logins are counted
 DEAR_PROBING = 0.05  # of what logins are worth: where probing all servers costs more, only some are probed
 SOME_PROBING = 0.005  # of what logins are worth: what the standing probes of some servers may cost then
@@ -127,14 +126,13 @@
 class Held:
     """A login this balancer answers for, or the connection it became."""
 
-    __slots__ = ("login", "attempts", "is_open", "load", "surplus", "reserve", "round", "turn",
+    __slots__ = ("login", "attempts", "is_open", "load", "reserve", "round", "turn",
                  "awaits", "turns")
 
     def __init__(self, login: Login, load: float) -> None:
         self.login, self.load = login, load
         self.attempts: list[Attempt] = []
         self.is_open = False
-        self.surplus = False
         self.reserve = 0.0  # of each server, kept from this login
         self.round = 0  # of asking servers before a hand-off
         self.turn, self.awaits = 0, 0  # which asking it was, and the answers it waits for
@@ -634,17 +632,12 @@
 
 
 class Admission:
-    """Bounces what a full fleet cannot serve well: first what lies beyond a tenant's share."""
+    """Keeps a little of a full fleet for the logins that bring most importance for their load."""
 
-    def __init__(self, counts: Counts, workloads: list[Workload], tenants: list[Tenant], balancers: int,
-                 per_work: bool) -> None:
-        self._counts = counts
+    def __init__(self, workloads: list[Workload], per_work: bool) -> None:
         self._workloads = workloads
         self._per_work = per_work
         self._loads = [[0.0, 0.0] for _ in workloads]  # sum and number of the loads told, halved now and then
-        self._rates = [tenant.quota_per_s / balancers for tenant in tenants]
-        self._left = [2.0 * rate for rate in self._rates]
-        self._at = [0] * len(tenants)
 
     def saw_load(self, workload: int, load: float) -> None:
         seen = self._loads[workload]
@@ -668,22 +661,6 @@
         lesser = 1.0 - own / max(known) if own is not None and len(known) == len(yields) else 0.0
         return RESERVE * lesser
 
-    def surplus(self, now: int, login: Login) -> bool:
-        """Whether a login lies beyond its tenant's share, this balancer's part of it, over two seconds."""
-        if login.came_back or login.tenant >= len(self._rates) or not self._rates[login.tenant]:
-            return False
-        tenant, rate = login.tenant, self._rates[login.tenant]
-        passed = (now - self._at[tenant]) / SECOND if self._at[tenant] else 0.0
-        self._at[tenant] = now
-        self._left[tenant] = min(2.0 * rate, self._left[tenant] + passed * rate)
-        if self._left[tenant] < 1.0:
-            return True
-        self._left[tenant] -= 1.0
-        return False
-
-    def admits(self, held: Held) -> bool:
-        return not (held.surplus and self._counts.mean_pressure > FULL_FLEET)
-
 
 class HandOffs:
     """When a login may be sent again, for how long a hand-off may take, and which last answer is honest."""
@@ -844,7 +821,7 @@
     """One balancer's decisions. One method for each thing that can happen."""
 
     def __init__(self, host: Host, rng: Random, *, now: int, zone: int, balancers: int,
-                 workloads: list[Workload], tenants: list[Tenant], per_work: bool, cold: ColdRule,
+                 workloads: list[Workload], per_work: bool, cold: ColdRule,
                  max_hand_offs: int,
                  cancel_allowed: bool, max_retry_after: int, probes_allowed: bool, ask_for_list: bool,
                  ask_within: int, grouped: bool, weight_varies: bool, memory: int,
@@ -872,7 +849,7 @@
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
                           crossing_price,
                           min((w.message_limit for w in workloads if w.message_limit), default=0))
-        self._admission = Admission(self._counts, workloads, tenants, balancers, per_work)
+        self._admission = Admission(workloads, per_work)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
         self._moves = Moves(host, rng, self._counts, self._draw.group_load, self._draw.homes_of)
         self._list = ListFollowing(host, rng, ask_for_list, ask_within)
@@ -886,14 +863,10 @@
         held = Held(login, self._like(login.cost))
         self._held[login.login] = held
         self._means.login_seen(now)
-        held.surplus = self._admission.surplus(now, login)
         if login.cost:
             self._admission.saw_load(login.workload, held.load)
         held.reserve = self._admission.reserve(held)
-        if login.mid_flow or self._admission.admits(held):
-            self._place(now, held)
-        else:
-            self._give_up(held)
+        self._place(now, held)
 
     def connection_carried(self, now: int, login: Login, server: int) -> None:
         held = Held(login, self._like(login.cost))
