--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -353,9 +353,11 @@
         self._at = now
         self._last = [-RATE_TIME, -RATE_TIME]  # when the last two came
 
-    def login_seen(self, now: int) -> None:
-        self._seen = self._fade(now) + 1.0
-        self._at = now
+    def login_seen(self, now: int, came_back: bool) -> None:
+        """Clients that come back bring no importance of their own, however many they are."""
+        if not came_back:
+            self._seen = self._fade(now) + 1.0
+            self._at = now
         self._last = [self._last[1], now]
 
     def _fade(self, now: int) -> float:
@@ -862,7 +864,7 @@
     def login_arrived(self, now: int, login: Login) -> None:
         held = Held(login, self._like(login.cost))
         self._held[login.login] = held
-        self._means.login_seen(now)
+        self._means.login_seen(now, login.came_back)
         if login.cost:
             self._admission.saw_load(login.workload, held.load)
         held.reserve = self._admission.reserve(held)
@@ -870,7 +872,7 @@
 
     def connection_carried(self, now: int, login: Login, server: int) -> None:
         held = Held(login, self._like(login.cost))
-        self._means.login_seen(now)
+        self._means.login_seen(now, False)
         attempt = Attempt(server, now)
         held.attempts.append(attempt)
         self._held[login.login] = held
