Groups keep to the homes their seen share needs, filled before others, then one by one

Cause: where only some servers are probed, a group's logins walked down its order as soon as its first homes had no room, and every server came to pay for every group (see the round before). Change: homes by the group's share of the logins this balancer saw, drawn towards that of one among twenty; homes are used up to full, then one further server at a time that has room for the group's own cost.

--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -51,7 +51,7 @@
 ASK_ROUNDS = 3
 JOIN_WITHIN = PROBE_PERIOD // 20  # a probe sent so lately is waited for, not sent again
 ASK_PART = 0.25  # of the soft limit, for the answers of one round
-HOMES = 2  # servers with room that a group's logins are drawn from, where only some are probed
+GROUPS_LIKELY = 20  # of unknown size; what is seen of a group's share is drawn towards that of one of them
 
 
 class Histogram:
@@ -446,6 +446,8 @@
         self._homes: dict[int, int] = {}  # where a group's last connection was opened
         self._orders: dict[int, list[Server]] = {}  # of the ready servers, for each group, and for which list
         self._orders_of = 0
+        self._seen: dict[int, float] = {}  # logins of each group, halved now and then
+        self._seen_total = 0.0
 
     def room_limit(self) -> float:
         return max(ROOM, self._counts.mean_pressure)
@@ -525,28 +527,55 @@
             able.sort(key=lambda s: (group not in s.groups, near and s.zone != self._zone))
         return able
 
+    def saw_group(self, group: int) -> None:
+        self._seen[group] = self._seen.get(group, 0.0) + 1.0
+        self._seen_total += 1.0
+        if self._seen_total > 10 * GROUPS_LIKELY:
+            self._seen = {at: held / 2 for at, held in self._seen.items() if held > 0.5}
+            self._seen_total = sum(self._seen.values())
+
+    def _homes_needed(self, group: int) -> int:
+        """How many servers a group's load fills, by what this balancer has seen of it.
+
+        One of hundreds sees little, so the share it sees is drawn towards that of a group among a few.
+        """
+        share = (self._seen.get(group, 0.0) + 1.0) / (self._seen_total + GROUPS_LIKELY)
+        filled = min(1.0, max(0.5, self._counts.mean_pressure / ROOM))
+        return 1 + int(share * filled * GROUP_SPREAD * len(self._roster.ready))
+
     def ask_or_pick(self, now: int, held: Held,
                     allowed: Callable[[Server], bool]) -> tuple[list[Server], Server | None]:
-        """Where only some servers are probed: those to ask before this hand-off, or else the one drawn."""
+        """Where only some servers are probed: those to ask before this hand-off, or else the one drawn.
+
+        A group's logins are drawn among its homes with room, then among its homes not full. Then one server after
+        the other of the group's order, if it has room for the group's own cost too. Guards against groups that
+        scatter until every server pays for every group.
+        """
         self._counts.expire(now)
         able = self._in_order(now, held, allowed)
-        wide = 2 if held.login.came_back else 1
+        group = held.login.group if self._grouped else 0
+        number = self._homes_needed(group) if group else ASK_FIRST
         while True:
-            first = able[:ASK_FIRST * wide << held.round]
-            roomy = [s for s in first if self._counts.heard(now, s) and self._not_full(now, s, held)
-                     and self.has_room(now, s)]
+            number_asked = min(number, ASK_FIRST) << held.round if not group else number + (
+                0 if not held.round else ASK_FIRST << held.round)
+            first = able[:number_asked]
+            known = [s for s in first if self._counts.heard(now, s) and self._not_full(now, s, held)]
             unheard = [s for s in first if not self._counts.heard(now, s)
                        and (not s.asked_at or now - s.asked_at < JOIN_WITHIN)]
-            if len(roomy) >= HOMES * wide or (roomy and not unheard):
-                holders = [s for s in roomy if held.login.group in s.groups]
-                return [], self._weighted(holders or roomy[:HOMES * wide])
+            if not unheard or held.round >= ASK_ROUNDS:
+                homes = [s for s in known if s in first[:number]]
+                roomy = [s for s in homes if self.has_room(now, s)]
+                holders = [s for s in roomy if group in s.groups] if group else []
+                if homes:
+                    return [], self._weighted(holders or roomy or homes)
+                for server in known:
+                    if (self._counts.projected(server) or 0.0) < ROOM - GROUP_MARGIN or not group:
+                        return [], server
             if held.round >= ASK_ROUNDS:
-                break
+                return [], None
             held.round += 1
             if unheard:
                 return unheard, None
-        known = [s for s in able if self._counts.heard(now, s) and self._not_full(now, s, held)]
-        return [], self._weighted(known) if known else None
 
     def broke_under_load(self, now: int, held: Held, server: Server) -> None:
         """Notes a client whose connection broke on a crowded server; it may be what crowded it."""
@@ -865,6 +894,7 @@
         held = Held(login, self._like(login.cost))
         self._held[login.login] = held
         self._means.login_seen(now, login.came_back)
+        self._draw.saw_group(login.group)
         if login.cost:
             self._admission.saw_load(login.workload, held.load)
         held.reserve = self._admission.reserve(held)
@@ -873,6 +903,7 @@
     def connection_carried(self, now: int, login: Login, server: int) -> None:
         held = Held(login, self._like(login.cost))
         self._means.login_seen(now, False)
+        self._draw.saw_group(login.group)
         attempt = Attempt(server, now)
         held.attempts.append(attempt)
         self._held[login.login] = held
