--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -126,7 +126,7 @@
 class Held:
     """A login this balancer answers for, or the connection it became."""
 
-    __slots__ = ("login", "attempts", "is_open", "load", "reserve", "round", "turn",
+    __slots__ = ("login", "attempts", "is_open", "load", "reserve", "round", "asked", "some", "turn",
                  "awaits", "turns")
 
     def __init__(self, login: Login, load: float) -> None:
@@ -135,6 +135,8 @@
         self.is_open = False
         self.reserve = 0.0  # of each server, kept from this login
         self.round = 0  # of asking servers before a hand-off
+        self.asked = 0  # rounds
+        self.some: list[Server] = []  # of its group's homes, asked first
         self.turn, self.awaits = 0, 0  # which asking it was, and the answers it waits for
         self.turns: dict[int, float] = {}  # its chance to be sent to each cold server, drawn once
 
@@ -554,28 +556,38 @@
         self._counts.expire(now)
         able = self._in_order(now, held, allowed)
         group = held.login.group if self._grouped else 0
-        number = self._homes_needed(group) if group else ASK_FIRST
+        homes = able[:self._homes_needed(group)] if group else able[:ASK_FIRST]
         while True:
-            number_asked = min(number, ASK_FIRST) << held.round if not group else number + (
-                0 if not held.round else ASK_FIRST << held.round)
-            first = able[:number_asked]
-            known = [s for s in first if self._counts.heard(now, s) and self._not_full(now, s, held)]
+            # A few of the homes first, then all of them, then further servers in order.
+            first = self._some_of(held, homes) if not held.round else able[:len(homes) + (
+                0 if held.round == 1 else ASK_FIRST << held.round)]
             unheard = [s for s in first if not self._counts.heard(now, s)
                        and (not s.asked_at or now - s.asked_at < JOIN_WITHIN)]
-            if not unheard or held.round >= ASK_ROUNDS:
-                homes = [s for s in known if s in first[:number]]
-                roomy = [s for s in homes if self.has_room(now, s)]
+            if unheard and held.asked < held.round + 1:
+                held.asked = held.round + 1
+                return unheard, None
+            known = [s for s in first if self._counts.heard(now, s) and self._not_full(now, s, held)]
+            roomy = [s for s in known if s in homes and self.has_room(now, s)]
+            if roomy:
                 holders = [s for s in roomy if group in s.groups] if group else []
-                if homes:
-                    return [], self._weighted(holders or roomy or homes)
+                return [], self._weighted(holders or roomy)
+            if held.round:
+                known_homes = [s for s in known if s in homes]
+                if known_homes:
+                    return [], self._weighted(known_homes)
                 for server in known:
-                    if (self._counts.projected(server) or 0.0) < ROOM - GROUP_MARGIN or not group:
+                    if not group or (self._counts.projected(server) or 0.0) < ROOM - GROUP_MARGIN:
                         return [], server
             if held.round >= ASK_ROUNDS:
                 return [], None
             held.round += 1
-            if unheard:
-                return unheard, None
+
+    def _some_of(self, held: Held, homes: list[Server]) -> list[Server]:
+        if len(homes) <= ASK_FIRST:
+            return homes
+        if not held.some:
+            held.some = self._rng.sample(homes, ASK_FIRST)
+        return held.some
 
     def broke_under_load(self, now: int, held: Held, server: Server) -> None:
         """Notes a client whose connection broke on a crowded server; it may be what crowded it."""
@@ -1107,7 +1119,7 @@
         self._counts.placed(now, server, held)
         cut_at = self._hand_offs.cut_at(now, held)
         held.attempts.append(Attempt(server.id, now))
-        held.round = 0
+        held.round, held.asked, held.some = 0, 0, []
         self._host.hand_off(login, server.id, cut_at)
 
     def _ask_first(self, now: int, held: Held, servers: list[Server]) -> None:
