--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -349,8 +349,9 @@
 class Means:
     """Whether this balancer can pay for probing every server, and how many it probes otherwise."""
 
-    def __init__(self, now: int, fee: float) -> None:
+    def __init__(self, now: int, fee: float, balancers: int) -> None:
         self._fee = fee
+        self._balancers = balancers
         self._seen = 0.0  # logins, halved every RATE_TIME
         self._at = now
         self._last = [-RATE_TIME, -RATE_TIME]  # when the last two came
@@ -374,8 +375,12 @@
         return now - self._last[0] < span
 
     def some_only(self, now: int, servers: int) -> bool:
-        """Whether probing all of them, as seldom as the design allows, costs too much of what logins are worth."""
-        return servers * self._fee * SECOND > DEAR_PROBING * self.rate(now) * AGE_LIMIT
+        """Whether probing all of them, as seldom as the design allows, costs too much of what logins are worth.
+
+        So it does, too, where more balancers than servers share the logins: each server would answer more probes
+        than it takes logins, and what one balancer holds tells little of where groups are.
+        """
+        return bool(self._fee) and self._balancers > servers or servers * self._fee * SECOND > DEAR_PROBING * self.rate(now) * AGE_LIMIT
 
     def probed(self, now: int, servers: int) -> int:
         """How many servers to probe in an age limit, if not all."""
@@ -887,7 +892,7 @@
         self._roster = Roster()
         self._counts = Counts(self._roster, balancers, weight_varies)
         self._health = Health(host, rng, self._counts)
-        self._means = Means(now, probe_price if probes_allowed else 0.0)
+        self._means = Means(now, probe_price if probes_allowed else 0.0, balancers)
         self._cold = ColdBudget(cold, balancers, self._counts, self._means)
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
                           crossing_price,
