--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -51,7 +51,7 @@
 ASK_ROUNDS = 3
 JOIN_WITHIN = PROBE_PERIOD // 20  # a probe sent so lately is waited for, not sent again
 ASK_PART = 0.25  # of the soft limit, for the answers of one round
-GROUPS_LIKELY = 20  # of unknown size; what is seen of a group's share is drawn towards that of one of them
+GROUPS_LIKELY = 40  # of unknown size; what is seen of a group's share is drawn towards that of one of them
 
 
 class Histogram:
