Where only some are probed, three connections of others are counted as placed meanwhile

Cause: an answer asked for shows the state of up to a second and a half ago, and other balancers of hundreds place by it too; where a server holds thirty connections, that is a tenth of it.

--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -288,7 +288,9 @@
         flood = max(0.0, self._since - 1.0) if self.some_only else self._since
         spread = flood * min(1.0, server.power / self._room_power)
         alike = min(self._balancers, ALIKE)
-        return server.pressure + (alike * server.since + (self._balancers - alike) * spread) / size
+        # A report that was asked for is no fresher, and others of many balancers placed by it at the same time.
+        met = alike - 1 if self.some_only else 0
+        return server.pressure + (met + alike * server.since + (self._balancers - alike) * spread) / size
 
     def per_power(self, server: Server, mean: float) -> float:
         """Connections of like cost a unit of power: the design's count, for unlike servers and logins."""
