--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -29,9 +29,6 @@
 MOVE_REST = 5 * PROBE_PERIOD // 2  # until a move shows in the reports
 MOVE_PART = 0.5  # of the excess that goes in one step, each balancer its own part of it
 GROUP_SPREAD = 1.15  # times a group's share of the load: the part of the power it may spread over
-CAUTION = 0.1  # of what a server can do, more room for each break under load ...
-CAUTION_TIME = 4 * PROBE_PERIOD  # ... remembered this long for each
-STRIKES_KEPT = 10_000  # clients
 RESERVE = 0.1  # of what a server can do, kept for logins that bring more importance for their load
 DEAR_CROSSING = 0.01  # of a login's worth: a crossing of zones that costs more is avoided while there is room
 REMNANT = 2  # own connections of a group on a server that are still a remnant
@@ -85,9 +82,7 @@
     def __init__(self, line: Listed, now: int) -> None:
         self.id = line.server
         self.zone, self.kind, self.cell, self.weight = line.zone, line.kind, line.cell, line.weight
-        self.status = line.status
-        self.listed_at = now
-        self.started_at = line.started_at
+        self.status, self.started_at, self.listed_at = line.status, line.started_at, now
         self.count: float | None = None
         self.pressure: float | None = None
         self.read_at = 0  # when the last report came; 0: none yet
@@ -97,22 +92,16 @@
         self.groups: dict[int, int] = {}  # how many of them belong to each group
         self.capacity = Histogram()  # connections that would fill it
         self.power = 1.0  # against the fleet's mean
-        self.fails = 0
-        self.bars = 0
-        self.barred_until = 0
-        self.trial = 0
-        self.silent = 0
-        self.full_until = 0
+        self.fails = self.bars = self.barred_until = self.silent = 0
+        self.trial = 0  # the login that tries it out
         self.delay = 0.0  # how long messages take there, as last noted, and when
         self.delay_at = -SECOND * 3600
-        self.probing = 0
-        self.cold_spent = 0.0
-        self.cold_at = 0
-        self.rest_until = 0
-        self.gather_rest = 0
+        self.full_until = self.rest_until = self.gather_rest = 0
+        self.cold_spent, self.cold_at = 0.0, 0
+        self.probing = 0  # which turn of probes is the valid one
         self.asked_at = 0  # when a probe that is still unanswered was sent; 0: none
         self.probed_at = 0  # when the last one was sent
-        self.askers: list[tuple[int, int]] = []  # logins that wait for its answer, and in which round
+        self.askers: list[tuple[Held, int]] = []  # logins that wait for its answer, and in which asking
 
 
 class Attempt:
@@ -126,14 +115,13 @@
 class Held:
     """A login this balancer answers for, or the connection it became."""
 
-    __slots__ = ("login", "attempts", "is_open", "load", "reserve", "round", "asked", "some", "turn",
+    __slots__ = ("login", "attempts", "is_open", "load", "round", "asked", "some", "turn",
                  "awaits", "turns")
 
     def __init__(self, login: Login, load: float) -> None:
         self.login, self.load = login, load
         self.attempts: list[Attempt] = []
         self.is_open = False
-        self.reserve = 0.0  # of each server, kept from this login
         self.round = 0  # of asking servers before a hand-off
         self.asked = 0  # rounds
         self.some: list[Server] = []  # of its group's homes, asked first
@@ -439,7 +427,9 @@
     """The design's random draw, and the narrowing of who takes part in it."""
 
     def __init__(self, rng: Random, roster: Roster, counts: Counts, health: Health, cold: ColdBudget,
-                 grouped: bool, zone: int, crossing_price: float, message_limit: int) -> None:
+                 grouped: bool, zone: int, crossing_price: float, message_limit: int,
+                 reserves: list[float]) -> None:
+        self._reserves = reserves  # of each server, kept from the logins of each workload
         self._message_limit = message_limit
         self._zone = zone
         self._crossing_price = crossing_price
@@ -451,7 +441,6 @@
         self._grouped = grouped
         self.group_load: dict[int, int] = {}  # own open connections of each group
         self.total_load = 0
-        self._strikes: dict[int, tuple[int, int]] = {}  # a client's breaks under load, and when the last was
         self._homes: dict[int, int] = {}  # where a group's last connection was opened
         self._orders: dict[int, list[Server]] = {}  # of the ready servers, for each group, and for which list
         self._orders_of = 0
@@ -507,9 +496,8 @@
 
     def _not_full(self, now: int, server: Server, held: Held) -> bool:
         # Guards against a standing overload: what is piled up on a full server spoils all its connections.
-        limit = FULL - self._caution(now, held.login.subject) - held.reserve
         return (now >= server.full_until and not self._late(now, server, 1.0)
-                and (self._counts.projected(server) or 0.0) < limit)
+                and (self._counts.projected(server) or 0.0) < FULL - self._reserves[held.login.workload])
 
     def _in_order(self, now: int, held: Held, allowed: Callable[[Server], bool]) -> list[Server]:
         """Servers for a login where only some are probed: own holders of its group, then the group's order.
@@ -566,8 +554,11 @@
         homes = able[:self._homes_needed(group)] if group else able[:ASK_FIRST]
         while True:
             # A few of the homes first, then all of them, then further servers in order.
-            first = self._some_of(held, homes) if not held.round else able[:len(homes) + (
-                0 if held.round == 1 else ASK_FIRST << held.round)]
+            if not held.round:
+                held.some = held.some or self._rng.sample(homes, min(len(homes), ASK_FIRST))
+                first = held.some
+            else:
+                first = able[:len(homes) + (ASK_FIRST << held.round if held.round > 1 else 0)]
             unheard = [s for s in first if not self._counts.heard(now, s)
                        and (not s.asked_at or now - s.asked_at < JOIN_WITHIN)]
             if unheard and held.asked < held.round + 1:
@@ -589,31 +580,6 @@
                 return [], None
             held.round += 1
 
-    def _some_of(self, held: Held, homes: list[Server]) -> list[Server]:
-        if len(homes) <= ASK_FIRST:
-            return homes
-        if not held.some:
-            held.some = self._rng.sample(homes, ASK_FIRST)
-        return held.some
-
-    def broke_under_load(self, now: int, held: Held, server: Server) -> None:
-        """Notes a client whose connection broke on a crowded server; it may be what crowded it."""
-        if held.login.subject and server.status is Status.READY and (server.pressure or 0.0) > ROOM:
-            strikes, _ = self._strikes.get(held.login.subject, (0, now))
-            self._strikes[held.login.subject] = (strikes + 1, now)
-            if len(self._strikes) > STRIKES_KEPT:
-                del self._strikes[next(iter(self._strikes))]
-
-    def _caution(self, now: int, subject: int) -> float:
-        """How much more room a client needs that broke under load lately.
-
-        Guards against one giant connection that topples a server, breaks, and comes back to topple the next.
-        """
-        strikes, at = self._strikes.get(subject, (0, 0))
-        if strikes < 2 or now - at > strikes * CAUTION_TIME:
-            return 0.0
-        return CAUTION * strikes
-
     def _weighted(self, servers: list[Server]) -> Server:
         if len(servers) == 1:
             return servers[0]
@@ -681,37 +647,6 @@
     return value ^ (value >> 31)
 
 
-class Admission:
-    """Keeps a little of a full fleet for the logins that bring most importance for their load."""
-
-    def __init__(self, workloads: list[Workload], per_work: bool) -> None:
-        self._workloads = workloads
-        self._per_work = per_work
-        self._loads = [[0.0, 0.0] for _ in workloads]  # sum and number of the loads told, halved now and then
-
-    def saw_load(self, workload: int, load: float) -> None:
-        seen = self._loads[workload]
-        seen[0], seen[1] = seen[0] + load, seen[1] + 1
-        if seen[1] >= 200:
-            seen[0], seen[1] = seen[0] / 2, seen[1] / 2
-
-    def _yield_of(self, workload: int) -> float | None:
-        """Importance for a unit of load; None where loads are not told and importance is not by work."""
-        importance = self._workloads[workload].importance
-        if self._per_work:
-            return importance
-        load, seen = self._loads[workload]
-        return importance * seen / load if load else None
-
-    def reserve(self, held: Held) -> float:
-        """How much of a server is kept from this login for ones that bring more importance for their load."""
-        own = self._yield_of(held.login.workload)
-        yields = [self._yield_of(workload) for workload in range(len(self._workloads))]
-        known = [value for value in yields if value]
-        lesser = 1.0 - own / max(known) if own is not None and len(known) == len(yields) else 0.0
-        return RESERVE * lesser
-
-
 class HandOffs:
     """When a login may be sent again, for how long a hand-off may take, and which last answer is honest."""
 
@@ -867,22 +802,114 @@
         return int(min(self._most, PROBE_PERIOD << min(self._failures - 1, 4)) * self._rng.uniform(0.3, 1.0))
 
 
+class Probing:
+    """Which servers are probed and when; and which logins wait for an answer."""
+
+    def __init__(self, host: Host, rng: Random, roster: Roster, counts: Counts, means: Means,
+                 cold: ColdBudget, after: Callable[[int, Callable[[int], None]], None],
+                 allowed: bool) -> None:
+        self._host, self._rng, self._after, self._allowed = host, rng, after, allowed
+        self._roster, self._counts, self._means, self._cold = roster, counts, means, cold
+        self._weighed: bool | None = None  # whether only some servers are probed
+        self._some: list[Server] = []  # those, if so
+
+    def started(self, first_list: bool, servers: list[Server]) -> None:
+        if not self._allowed:
+            return
+        if first_list:
+            # Connections held at the start, which tell the rate of logins, come right after the first list.
+            self._after(0, self._weigh)
+        elif not self._counts.some_only:
+            self._probe_all(servers)
+
+    def _weigh(self, now: int) -> None:
+        """Once an age limit: whether to probe all servers or some, and which."""
+        ready = self._roster.ready
+        some_only = self._means.some_only(now, len(ready))
+        if some_only != self._weighed:
+            if self._weighed is not None:
+                self._host.log(f"probing {'some' if some_only else 'all'} of {len(ready)} servers from now on")
+            self._weighed = self._counts.some_only = some_only
+            if not some_only:
+                self._probe_all(ready)
+        if some_only:
+            self._exchange(now)
+        self._after(int(AGE_LIMIT * self._rng.uniform(0.9, 1.1)), self._weigh)
+
+    def _probe_all(self, servers: list[Server]) -> None:
+        for server in servers:
+            server.probing += 1
+            self._schedule(server, server.probing, int(self._rng.random() * PROBE_PERIOD))
+
+    def _schedule(self, server: Server, turn: int, wait: int) -> None:
+        def due(now: int) -> None:
+            if server.status is Status.READY and server.probing == turn and not self._counts.some_only:
+                self.ask(now, server)
+                calm = (server.pressure is not None and server.pressure < CALM and not server.silent
+                        and not self._cold.is_cold(now, server))
+                self._schedule(server, turn, CALM_PERIOD if calm else PROBE_PERIOD)
+        self._after(wait, due)
+
+    def _exchange(self, now: int) -> None:
+        """Exchanges one of the servers probed for another at random, every second time for a holder of own ones."""
+        size = self._means.probed(now, len(self._roster.ready))
+        kept = [server for server in self._some if server.status is Status.READY]
+        self._rng.shuffle(kept)
+        self._some = kept[:size - 1]
+        others = [server for server in self._roster.ready if server not in self._some]
+        while others and len(self._some) < size:
+            holders = [server for server in others if server.open]
+            chosen = self._rng.choice(holders if holders and self._rng.random() < 0.5 else others)
+            self._some.append(chosen)
+            others.remove(chosen)
+        for server in self._some:
+            self._after(int(self._rng.random() * AGE_LIMIT), lambda at, server=server: self.ask(at, server))
+
+    def ask(self, now: int, server: Server) -> None:
+        if server.status is Status.READY:
+            server.asked_at = server.probed_at = now
+            self._host.probe(server.id)
+
+    def ask_for(self, now: int, held: Held, servers: list[Server], wait: int,
+                place: Callable[[int, Held], None]) -> None:
+        """Asks servers for their counts before a hand-off; who has not answered soon is passed over."""
+        turn = held.turn = held.turn + 1
+        held.awaits = len(servers)
+        for server in servers:
+            server.askers.append((held, turn))
+            if not server.asked_at:
+                self.ask(now, server)
+
+        def late(at: int) -> None:
+            if held.awaits and held.turn == turn:
+                held.awaits = 0
+                place(at, held)
+        self._after(wait, late)
+
+    def answered(self, server: Server) -> list[Held]:
+        """Takes note of an answer; returns the logins that have waited for it as their last."""
+        askers, server.askers = server.askers, []
+        done = []
+        for held, turn in askers:
+            if held.awaits and held.turn == turn:
+                held.awaits -= 1
+                if not held.awaits:
+                    done.append(held)
+        return done
+
+
 class Balancer:
     """One balancer's decisions. One method for each thing that can happen."""
 
     def __init__(self, host: Host, rng: Random, *, now: int, zone: int, balancers: int,
-                 workloads: list[Workload], per_work: bool, cold: ColdRule,
-                 max_hand_offs: int,
-                 cancel_allowed: bool, max_retry_after: int, probes_allowed: bool, ask_for_list: bool,
-                 ask_within: int, grouped: bool, weight_varies: bool, memory: int,
-                 crossing_price: float, probe_price: float) -> None:
+                 workloads: list[Workload], per_work: bool, cold: ColdRule, max_hand_offs: int,
+                 cancel_allowed: bool, max_retry_after: int, probes_allowed: bool, probe_price: float,
+                 ask_for_list: bool, ask_within: int, grouped: bool, weight_varies: bool, memory: int,
+                 crossing_price: float) -> None:
         self._host = host
         self._rng = rng
         self._workloads = workloads
-        self._listed = False
-        self._weighed: bool | None = None  # whether only some servers are probed
-        self._some: list[Server] = []  # the servers probed, where only some are
-        self._probes_allowed = probes_allowed
+        self._listed = False  # whether a list has come
         self._cancel_allowed = cancel_allowed
         self._remembers = memory > 0
         self._where: dict[int, int] = {}  # the holder of a client's connection, where packets pass
@@ -896,12 +923,15 @@
         self._health = Health(host, rng, self._counts)
         self._means = Means(now, probe_price if probes_allowed else 0.0, balancers)
         self._cold = ColdBudget(cold, balancers, self._counts, self._means)
+        most = max(workload.importance for workload in workloads)
+        reserves = [RESERVE * (1 - w.importance / most) if per_work and most else 0.0 for w in workloads]
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
                           crossing_price,
-                          min((w.message_limit for w in workloads if w.message_limit), default=0))
-        self._admission = Admission(workloads, per_work)
+                          min((w.message_limit for w in workloads if w.message_limit), default=0), reserves)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
         self._moves = Moves(host, rng, self._counts, self._draw.group_load, self._draw.homes_of)
+        self._probing = Probing(host, rng, self._roster, self._counts, self._means, self._cold, self._after,
+                                probes_allowed)
         self._list = ListFollowing(host, rng, ask_for_list, ask_within)
         first = self._list.first_wait()
         if first is not None:
@@ -914,9 +944,6 @@
         self._held[login.login] = held
         self._means.login_seen(now, login.came_back)
         self._draw.saw_group(login.group)
-        if login.cost:
-            self._admission.saw_load(login.workload, held.load)
-        held.reserve = self._admission.reserve(held)
         self._place(now, held)
 
     def connection_carried(self, now: int, login: Login, server: int) -> None:
@@ -943,10 +970,9 @@
             known = self._roster.servers[server]
             known.delay, known.delay_at = value, now
             if self._counts.some_only and not self._counts.heard(now, known):
-                self._ask(now, known)
+                self._probing.ask(now, known)
         elif held is not None and kind is NoteKind.LOAD:
             held.load = self._like(value)
-            self._admission.saw_load(held.login.workload, held.load)
 
     def hand_off_ended(self, now: int, login: int, closed: bool, server: int, outcome: Outcome, attempt: int,
                        delay: int, report: Report | None) -> None:
@@ -962,8 +988,6 @@
         if attempt < len(held.attempts):
             held.attempts[attempt].outcome = outcome
         if closed:
-            if held.is_open and outcome is Outcome.BROKEN and known is not None and not known.silent:
-                self._draw.broke_under_load(now, held, known)
             self._forget(held)
             return
         if known is not None:
@@ -1000,17 +1024,12 @@
         elif outcome in (Outcome.TIMED_OUT, Outcome.NOT_CONNECTED, Outcome.BROKEN):
             known.silent += 1
             if known.silent < SILENT_IN_ROW and known.status is Status.READY:
-                self._ask(now, known)
+                self._probing.ask(now, known)
             # Guards against emptying a server that is only too busy to answer: that one is given longer.
             elif known.silent == (SILENT_IN_ROW if (known.pressure or 0.0) < HOT else 2 * SILENT_IN_ROW):
                 self._moves.evacuate(known, "silent")
-        askers, known.askers = known.askers, []
-        for login, turn in askers:
-            held = self._held.get(login)
-            if held is not None and held.awaits and held.turn == turn:
-                held.awaits -= 1
-                if not held.awaits:
-                    self._place(now, held)
+        for held in self._probing.answered(known):
+            self._place(now, held)
 
     def servers_listed(self, now: int, scope: Scope, revision: int, lines: Iterable[Listed]) -> None:
         if scope is Scope.FAILED:
@@ -1023,11 +1042,7 @@
         started, left = self._roster.apply(now, scope, lines)
         for server in left:
             self._moves.evacuate(server, "drains" if server.status is Status.DRAINING else "is gone")
-        if not self._listed and self._probes_allowed:
-            # Connections held at the start, which tell the rate of logins, come right after the first list.
-            self._after(0, self._weigh_means)
-        elif self._probes_allowed and started and not self._counts.some_only:
-            self._probe_all(started)
+        self._probing.started(not self._listed, started)
         self._listed = True
 
     def peer_told(self, now: int, peer: int, content: bytes) -> None:
@@ -1046,57 +1061,6 @@
         self._timers[mark] = action
         self._host.set_timer(wait, mark)
 
-    def _probe_all(self, servers: list[Server]) -> None:
-        for server in servers:
-            server.probing += 1
-            self._schedule_probe(server, server.probing, int(self._rng.random() * PROBE_PERIOD))
-
-    def _weigh_means(self, now: int) -> None:
-        """Once an age limit: whether to probe all servers or some, and which."""
-        ready = self._roster.ready
-        some_only = self._means.some_only(now, len(ready))
-        if some_only != self._weighed:
-            if self._weighed is not None:
-                self._host.log(f"probing {'some' if some_only else 'all'} of {len(ready)} servers from now on")
-            self._weighed = some_only
-            self._counts.some_only = some_only
-            if not some_only:
-                self._probe_all(ready)
-        if some_only:
-            self._exchange(now)
-        self._after(int(AGE_LIMIT * self._rng.uniform(0.9, 1.1)), self._weigh_means)
-
-    def _exchange(self, now: int) -> None:
-        """Exchanges one of the servers probed for another at random, every second time for a holder of own ones."""
-        size = self._means.probed(now, len(self._roster.ready))
-        kept = [server for server in self._some if server.status is Status.READY]
-        self._rng.shuffle(kept)
-        self._some = kept[:size - 1]
-        holders = [server for server in self._roster.ready if server.open and server not in self._some]
-        others = [server for server in self._roster.ready if server not in self._some]
-        while others and len(self._some) < size:
-            chosen = self._rng.choice(holders if holders and self._rng.random() < 0.5 else others)
-            self._some.append(chosen)
-            others.remove(chosen)
-            holders = [server for server in holders if server is not chosen]
-        for server in self._some:
-            self._after(int(self._rng.random() * AGE_LIMIT),
-                        lambda at, server=server: self._ask(at, server))
-
-    def _ask(self, now: int, server: Server) -> None:
-        if server.status is Status.READY:
-            server.asked_at = server.probed_at = now
-            self._host.probe(server.id)
-
-    def _schedule_probe(self, server: Server, turn: int, wait: int) -> None:
-        def due(now: int) -> None:
-            if server.status is Status.READY and server.probing == turn and not self._counts.some_only:
-                self._ask(now, server)
-                calm = (server.pressure is not None and server.pressure < CALM and not server.silent
-                        and not self._cold.is_cold(now, server))
-                self._schedule_probe(server, turn, CALM_PERIOD if calm else PROBE_PERIOD)
-        self._after(wait, due)
-
     def _like(self, cost: float | None) -> float:
         """A login's cost in connections of mean cost; 1 where nothing is told."""
         if not cost:
@@ -1113,7 +1077,8 @@
         if server is None and self._counts.some_only:
             to_ask, server = self._draw.ask_or_pick(now, held, self._hand_offs.allowed(held))
             if to_ask:
-                self._ask_first(now, held, to_ask)
+                wait = int(ASK_PART * self._workloads[held.login.workload].soft_limit)
+                self._probing.ask_for(now, held, to_ask, wait, self._place)
                 return
         elif server is None:
             server = self._draw.pick(now, held, self._hand_offs.allowed(held))
@@ -1129,21 +1094,6 @@
         held.round, held.asked, held.some = 0, 0, []
         self._host.hand_off(login, server.id, cut_at)
 
-    def _ask_first(self, now: int, held: Held, servers: list[Server]) -> None:
-        """Asks servers for their counts before a hand-off; who has not answered soon is passed over."""
-        turn = held.turn = held.turn + 1
-        held.awaits = len(servers)
-        for server in servers:
-            server.askers.append((held.login.login, turn))
-            if not server.asked_at:
-                self._ask(now, server)
-
-        def late(at: int) -> None:
-            if self._held.get(held.login.login) is held and held.awaits and held.turn == turn:
-                held.awaits = 0
-                self._place(at, held)
-        self._after(int(ASK_PART * self._workloads[held.login.workload].soft_limit), late)
-
     def _holder(self, now: int, held: Held) -> Server | None:
         """The server that holds a connection whose packets now come this way, if known and ready."""
         if not held.login.mid_flow or held.attempts:
@@ -1184,6 +1134,7 @@
     def _forget(self, held: Held) -> None:
         login = held.login.login
         self._held.pop(login, None)
+        held.awaits = 0
         if held.is_open:
             self._draw.count_group(held, self._roster.servers.get(held.attempts[-1].server), -1)
         for attempt in held.attempts[-1:]:
