--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -31,7 +31,6 @@
 GROUP_SPREAD = 1.15  # times a group's share of the load: the part of the power it may spread over
 RESERVE = 0.1  # of what a server can do, kept for logins that bring more importance for their load
 DEAR_CROSSING = 0.01  # of a login's worth: a crossing of zones that costs more is avoided while there is room
-REMNANT = 2  # own connections of a group on a server that are still a remnant
 NOTE_LASTS = 3 * PROBE_PERIOD // 2  # a note of late messages comes once a second while they are late
 ALIKE = 4  # balancers, this one too, that are taken to place alike
 GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
@@ -96,7 +95,7 @@
         self.trial = 0  # the login that tries it out
         self.delay = 0.0  # how long messages take there, as last noted, and when
         self.delay_at = -SECOND * 3600
-        self.full_until = self.rest_until = self.gather_rest = 0
+        self.full_until = self.rest_until = 0
         self.cold_spent, self.cold_at = 0.0, 0
         self.probing = 0  # which turn of probes is the valid one
         self.asked_at = 0  # when a probe that is still unanswered was sent; 0: none
@@ -709,13 +708,11 @@
 class Moves:
     """The exception to kept placements: off a lost or draining server, and off a hot one in bounded steps."""
 
-    def __init__(self, host: Host, rng: Random, counts: Counts, group_load: dict[int, int],
-                 homes_of: Callable[[int], list[Server]]) -> None:
+    def __init__(self, host: Host, rng: Random, counts: Counts, group_load: dict[int, int]) -> None:
         self._host = host
         self._rng = rng
         self._counts = counts
         self._group_load = group_load
-        self._homes_of = homes_of
 
     def evacuate(self, server: Server, why: str) -> None:
         if server.open:
@@ -730,8 +727,6 @@
             return
         # Past all it can do a server serves none of its connections well: it sheds in a full fleet too.
         if pressure <= max(HOT, min(EVEN * mean, FULL + 0.1)):
-            if pressure > ROOM and now >= server.gather_rest:
-                self._gather(now, server)
             return
         target = max(ROOM, min(mean, HOT))
         part = (1.0 if pressure > 1.0 else MOVE_PART) * (pressure - target) / pressure
@@ -751,22 +746,6 @@
         server.rest_until = now + MOVE_REST
         self._host.log(f"server {server.id} hot at {pressure:.2f}: moved {moved} of {len(own)}")
 
-    def _gather(self, now: int, server: Server) -> None:
-        """Moves the smallest remnant of a group whose homes are elsewhere and have room."""
-        small = [(count, group) for group, count in server.groups.items() if count <= REMNANT]
-        for _, group in sorted(small):
-            homes = self._homes_of(group)
-            pressures = [self._counts.projected(home) or 0.0 for home in homes]
-            if server in homes or min(pressures, default=1.0) >= FULL - GROUP_MARGIN:
-                continue
-            leaving = [login for login, held in server.open.items() if held.login.group == group]
-            for login in leaving:
-                self._host.move(login)
-            server.gather_rest = now + MOVE_REST
-            self._host.log(f"server {server.id} crowded at {server.pressure:.2f}: "
-                           f"moved a group's last {len(leaving)}")
-            return
-
     def _remnant(self, server: Server, held: Held) -> int:
         """How many of a connection's group stand here, if most stand elsewhere; else a large number."""
         group = held.login.group
@@ -929,7 +908,7 @@
                           crossing_price,
                           min((w.message_limit for w in workloads if w.message_limit), default=0), reserves)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
-        self._moves = Moves(host, rng, self._counts, self._draw.group_load, self._draw.homes_of)
+        self._moves = Moves(host, rng, self._counts, self._draw.group_load)
         self._probing = Probing(host, rng, self._roster, self._counts, self._means, self._cold, self._after,
                                 probes_allowed)
         self._list = ListFollowing(host, rng, ask_for_list, ask_within)
