--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -43,7 +43,7 @@
 RATE_TIME = 10 * AGE_LIMIT  # over which own logins are counted
 DEAR_PROBING = 0.02  # of what logins are worth: where probing all servers costs more, only some are probed
 SOME_PROBING = 0.005  # of what logins are worth: what the standing probes of some servers may cost then
-ASK_FIRST = 3  # servers asked before a hand-off, twice as many in each further round, where only some are probed
+ASK_FIRST = 3  # servers asked before a hand-off where only some are probed; later rounds ask more
 ASK_ROUNDS = 3
 JOIN_WITHIN = PROBE_PERIOD // 20  # a probe sent so lately is waited for, not sent again
 ASK_PART = 0.25  # of the soft limit, for the answers of one round
@@ -58,7 +58,7 @@
     def __init__(self) -> None:
         self._bins: dict[int, float] = {}
         self._total = 0.0
-        self._mean: float | None = None
+        self.mean: float | None = None
 
     def add(self, value: float) -> None:
         index, edge = 0, self.RATIO
@@ -69,10 +69,7 @@
         if self._total >= self.HALVE_AT:
             self._bins = {at: held / 2 for at, held in self._bins.items() if held > 0.1}
             self._total = sum(self._bins.values())
-        self._mean = sum(held * self.RATIO ** (at + 0.5) for at, held in self._bins.items()) / self._total
-
-    def mean(self) -> float | None:
-        return self._mean
+        self.mean = sum(held * self.RATIO ** (at + 0.5) for at, held in self._bins.items()) / self._total
 
 
 class Server:
@@ -177,9 +174,7 @@
     """Reported counts and pressures, their age, and each server's power."""
 
     def __init__(self, roster: Roster, balancers: int, weight_varies: bool) -> None:
-        self._roster = roster
-        self._balancers = balancers
-        self._weight_varies = weight_varies
+        self._roster, self._balancers, self._weight_varies = roster, balancers, weight_varies
         self._kinds: dict[int, Histogram] = {}
         self.typical = 1.0  # connections that fill a server of mean power
         self.mean_pressure = 0.0
@@ -190,9 +185,8 @@
         self._recent: list[tuple[int, Server, int]] = []  # own placements, oldest first
 
     def take(self, now: int, server: Server, report: Report) -> None:
-        server.count, server.pressure = report.count, report.pressure
-        if report.pressure is None:
-            server.pressure = report.busy
+        server.count = report.count
+        server.pressure = report.busy if report.pressure is None else report.pressure
         server.read_at = now
         horizon = now - REPORT_LAG
         for login in [login for login, (at, _) in server.placed.items() if at <= horizon]:
@@ -229,9 +223,9 @@
         self.mean_pressure = asked / power if power else 0.0
 
     def capacity(self, server: Server) -> float | None:
-        size = server.capacity.mean()
+        size = server.capacity.mean
         if size is None and server.kind in self._kinds:
-            size = self._kinds[server.kind].mean()
+            size = self._kinds[server.kind].mean
         return size
 
     def fresh(self, now: int, server: Server) -> bool:
@@ -244,7 +238,7 @@
         return server.read_at > 0 and now - server.read_at <= PROBE_PERIOD
 
     def expire(self, now: int) -> None:
-        """Forgets placements that every report holds by now, where most servers are not heard of again soon."""
+        """Forgets placements that reports hold by now, where most servers are not heard of again soon."""
         while self._recent and self._recent[0][0] <= now - 2 * REPORT_LAG:
             _, server, login = self._recent.pop(0)
             self.unplaced(server, login)
@@ -264,7 +258,7 @@
     def projected(self, server: Server) -> float | None:
         """Pressure with placements since: own ones, and those taken to be made by the other balancers.
 
-        Guards against a flood of returning clients (a drain, a reconnect): each balancer sees its part, so
+        Guards against a flood of returning clients (a drain, a reconnect): each balancer sees its part of it.
         """
         if server.pressure is None:
             return None
@@ -275,7 +269,7 @@
         flood = max(0.0, self._since - 1.0) if self.some_only else self._since
         spread = flood * min(1.0, server.power / self._room_power)
         alike = min(self._balancers, ALIKE)
-        # A report that was asked for is no fresher, and others of many balancers placed by it at the same time.
+        # A report that was asked for is no fresher, and others of many balancers have placed by it too.
         met = alike - 1 if self.some_only else 0
         return server.pressure + (met + alike * server.since + (self._balancers - alike) * spread) / size
 
@@ -298,9 +292,7 @@
     """Failures in a row take a server out of the draw; probes or one trial login bring it back."""
 
     def __init__(self, host: Host, rng: Random, counts: Counts) -> None:
-        self._host = host
-        self._rng = rng
-        self._counts = counts
+        self._host, self._rng, self._counts = host, rng, counts
 
     def in_draw(self, now: int, server: Server) -> bool:
         if server.silent >= SILENT_IN_ROW - 1 and (not self._counts.some_only or server.asked_at
@@ -339,8 +331,7 @@
     """Whether this balancer can pay for probing every server, and how many it probes otherwise."""
 
     def __init__(self, now: int, fee: float, balancers: int) -> None:
-        self._fee = fee
-        self._balancers = balancers
+        self._fee, self._balancers = fee, balancers
         self._seen = 0.0  # logins, halved every RATE_TIME
         self._at = now
         self._last = [-RATE_TIME, -RATE_TIME]  # when the last two came
@@ -364,12 +355,13 @@
         return now - self._last[0] < span
 
     def some_only(self, now: int, servers: int) -> bool:
-        """Whether probing all of them, as seldom as the design allows, costs too much of what logins are worth.
+        """Whether probing all, as seldom as the design allows, costs too much of what logins are worth.
 
-        So it does, too, where more balancers than servers share the logins: each server would answer more probes
-        than it takes logins, and what one balancer holds tells little of where groups are.
+        So it does, too, where more balancers than servers share the logins: what one of them holds and
+        places tells little of the counts and of where groups are.
         """
-        return bool(self._fee) and self._balancers > servers or servers * self._fee * SECOND > DEAR_PROBING * self.rate(now) * AGE_LIMIT
+        cost = servers * self._fee * SECOND / AGE_LIMIT
+        return cost > DEAR_PROBING * self.rate(now) or (cost > 0 and self._balancers > servers)
 
     def probed(self, now: int, servers: int) -> int:
         """How many servers to probe in an age limit, if not all."""
@@ -381,10 +373,8 @@
     """This balancer's part of what a server that just started may be sent."""
 
     def __init__(self, rule: ColdRule, balancers: int, counts: Counts, means: Means) -> None:
-        self._rule = rule
+        self._rule, self._counts, self._means = rule, counts, means
         self._share = COLD_CARE / balancers
-        self._counts = counts
-        self._means = means
 
     def is_cold(self, now: int, server: Server) -> bool:
         return bool(server.started_at) and now - server.started_at < self._rule.ramp
@@ -408,8 +398,8 @@
         most = max(1.0, part)
         if server.cold_spent + min(held.load, most) > most + 1e-9:
             return False
-        # Guards against hundreds of balancers that each round their part of one server up to a connection: a part
-        # of less is taken as a chance, by the logins this balancer places in a span. Of those that come back all
+        # Guards against hundreds of balancers that each round their part of a server up to one connection: less
+        # is taken as a chance, by the logins this balancer places in a span. Of those that come back all
         # balancers may have some at once, so a span is taken to hold one at least.
         logins = self._means.rate(now) * self._rule.span / SECOND
         if held.login.came_back or self._means.many(now, self._rule.span):
@@ -429,15 +419,9 @@
                  grouped: bool, zone: int, crossing_price: float, message_limit: int,
                  reserves: list[float]) -> None:
         self._reserves = reserves  # of each server, kept from the logins of each workload
-        self._message_limit = message_limit
-        self._zone = zone
-        self._crossing_price = crossing_price
-        self._rng = rng
-        self._roster = roster
-        self._counts = counts
-        self._health = health
-        self._cold = cold
-        self._grouped = grouped
+        self._zone, self._crossing_price, self._message_limit = zone, crossing_price, message_limit
+        self._rng, self._roster, self._counts = rng, roster, counts
+        self._health, self._cold, self._grouped = health, cold, grouped
         self.group_load: dict[int, int] = {}  # own open connections of each group
         self.total_load = 0
         self._homes: dict[int, int] = {}  # where a group's last connection was opened
@@ -446,9 +430,6 @@
         self._seen: dict[int, float] = {}  # logins of each group, halved now and then
         self._seen_total = 0.0
 
-    def room_limit(self) -> float:
-        return max(ROOM, self._counts.mean_pressure)
-
     def _stays_near(self, login: Login) -> bool:
         """Logins stay in their zone where a crossing is dear and the fleet has room for groups held twice.
 
@@ -465,7 +446,7 @@
         if now < server.full_until or self._late(now, server, 0.5):
             return False
         pressure = self._counts.projected(server)
-        return pressure is None or pressure < self.room_limit()
+        return pressure is None or pressure < max(ROOM, self._counts.mean_pressure)
 
     def pick(self, now: int, held: Held, allowed: Callable[[Server], bool]) -> Server | None:
         tried = [attempt.server for attempt in held.attempts]
@@ -508,20 +489,20 @@
             self._orders_of = self._roster.version
             self._orders.clear()
         group = held.login.group if self._grouped else 0
-        order = self._orders.get(group) if group else None
+        order = self._orders.get(group)
         if order is None:
             key = group or held.login.login
             order = sorted(self._roster.ready, key=lambda s: _rank(key, s.id))
             if group:
                 self._orders[group] = order
         tried = [attempt.server for attempt in held.attempts]
-        near = self._stays_near(held.login)
-        able = [s for s in order if s.id not in tried and allowed(s) and self._health.in_draw(now, s)
-                and now >= s.full_until and not self._late(now, s, 0.5)
+        able = [s for s in order if allowed(s) and now >= s.full_until and not self._late(now, s, 0.5)
                 and self._cold.allows(now, s, held, self._rng)]
-        if group or near:
-            able.sort(key=lambda s: (group not in s.groups, near and s.zone != self._zone))
-        return able
+        untried = [s for s in able if s.id not in tried] or able
+        well = [s for s in untried if self._health.in_draw(now, s)] or untried
+        near = self._stays_near(held.login)
+        return sorted(well, key=lambda s: (group > 0 and group not in s.groups,
+                                           near and s.zone != self._zone))
 
     def saw_group(self, group: int) -> None:
         self._seen[group] = self._seen.get(group, 0.0) + 1.0
@@ -543,8 +524,8 @@
                     allowed: Callable[[Server], bool]) -> tuple[list[Server], Server | None]:
         """Where only some servers are probed: those to ask before this hand-off, or else the one drawn.
 
-        A group's logins are drawn among its homes with room, then among its homes not full. Then one server after
-        the other of the group's order, if it has room for the group's own cost too. Guards against groups that
+        A group's logins are drawn among its homes with room, then among its homes not full. Then comes the
+        next server of its order that has room for the group's own cost too. Guards against groups that
         scatter until every server pays for every group.
         """
         self._counts.expire(now)
@@ -576,7 +557,9 @@
                     if not group or (self._counts.projected(server) or 0.0) < ROOM - GROUP_MARGIN:
                         return [], server
             if held.round >= ASK_ROUNDS:
-                return [], None
+                # None has answered: the design's even draw.
+                unheard_of = able and not any(self._counts.heard(now, s) for s in first)
+                return [], self._rng.choice(able) if unheard_of else None
             held.round += 1
 
     def _weighted(self, servers: list[Server]) -> Server:
@@ -593,31 +576,21 @@
         A server that does not hold the group yet needs room for the group's own cost too. Guards against
         groups that scatter over a full fleet, where every server comes to pay for every group.
         """
-        homes = self.homes_of(group)
+        homes = self._homes_of(group)
         chosen = [s for s in roomy if s in homes]
         if not chosen:
-            need = sum(s.power for s in homes)
             spare = self._spill(group, [s for s in roomy if s not in homes], ROOM)
-            for server in sorted(spare, key=lambda s: (-s.groups.get(group, 0), _rank(group, s.id))):
-                chosen.append(server)
-                need -= server.power
-                if need <= 0:
-                    break
+            spare.sort(key=lambda s: (-s.groups.get(group, 0), _rank(group, s.id)))
+            chosen = _enough(spare, sum(s.power for s in homes))
         return chosen or [s for s in fresh if s in homes] or self._spill(group, fresh, FULL)
 
-    def homes_of(self, group: int) -> list[Server]:
+    def _homes_of(self, group: int) -> list[Server]:
         """As many servers as the group's load needs, those that hold most of it first, room or not."""
         share = self.group_load.get(group, 0) / self.total_load if self.total_load else 0.0
         need = share * GROUP_SPREAD * sum(server.power for server in self._roster.ready)
-        homes: list[Server] = []
         last = self._homes.get(group)
-        for server in sorted(self._roster.ready,
-                             key=lambda s: (-s.groups.get(group, 0), s.id != last, _rank(group, s.id))):
-            homes.append(server)
-            need -= server.power
-            if need <= 0:
-                break
-        return homes
+        return _enough(sorted(self._roster.ready, key=lambda s: (-s.groups.get(group, 0), s.id != last,
+                                                                 _rank(group, s.id))), need)
 
     def _spill(self, group: int, servers: list[Server], limit: float) -> list[Server]:
         """Servers with room for the login, and for the group's own cost where they don't hold it."""
@@ -639,6 +612,15 @@
                 counts.pop(group, None)
 
 
+def _enough(servers: list[Server], need: float) -> list[Server]:
+    """The first servers that make up this much power, one at least."""
+    for number, server in enumerate(servers, 1):
+        need -= server.power
+        if need <= 0:
+            return servers[:number]
+    return servers
+
+
 def _rank(group: int, server: int) -> int:
     value = (group ^ (server * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
     value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
@@ -754,31 +736,19 @@
 
 
 class ListFollowing:
-    """Keeps a watch on the list where it must be asked for."""
+    """How long to wait before the list is asked for, where it must be: spread out."""
 
-    def __init__(self, host: Host, rng: Random, asked: bool, ask_within: int) -> None:
-        self._host = host
+    def __init__(self, rng: Random, ask_within: int) -> None:
         self._rng = rng
-        self._asked = asked
         self._most = ask_within // 4
-        self._failures = 0
-
-    def first_wait(self) -> int | None:
-        return int(self._rng.random() * PROBE_PERIOD) if self._asked else None
+        self.failures = 0  # in a row
 
-    def ask(self) -> None:
-        self._host.watch_list(True)
+    def first_wait(self) -> int:
+        return int(self._rng.random() * PROBE_PERIOD)
 
-    def answered(self) -> None:
-        self._failures = 0
-
-    def failed(self) -> int | None:
-        """How long to wait before asking again: spread out, so that balancers don't return together."""
-        if not self._asked:
-            return None
-        self._failures += 1
-        self._host.log(f"list watch failed {self._failures} times in a row")
-        return int(min(self._most, PROBE_PERIOD << min(self._failures - 1, 4)) * self._rng.uniform(0.3, 1.0))
+    def failed(self) -> int:
+        self.failures += 1
+        return int(min(self._most, PROBE_PERIOD << min(self.failures - 1, 4)) * self._rng.uniform(0.3, 1.0))
 
 
 class Probing:
@@ -807,7 +777,7 @@
         some_only = self._means.some_only(now, len(ready))
         if some_only != self._weighed:
             if self._weighed is not None:
-                self._host.log(f"probing {'some' if some_only else 'all'} of {len(ready)} servers from now on")
+                self._host.log(f"probing {'some' if some_only else 'all'} of {len(ready)} servers")
             self._weighed = self._counts.some_only = some_only
             if not some_only:
                 self._probe_all(ready)
@@ -830,7 +800,7 @@
         self._after(wait, due)
 
     def _exchange(self, now: int) -> None:
-        """Exchanges one of the servers probed for another at random, every second time for a holder of own ones."""
+        """Exchanges one of the servers probed for another at random, often for one that holds own ones."""
         size = self._means.probed(now, len(self._roster.ready))
         kept = [server for server in self._some if server.status is Status.READY]
         self._rng.shuffle(kept)
@@ -911,10 +881,9 @@
         self._moves = Moves(host, rng, self._counts, self._draw.group_load)
         self._probing = Probing(host, rng, self._roster, self._counts, self._means, self._cold, self._after,
                                 probes_allowed)
-        self._list = ListFollowing(host, rng, ask_for_list, ask_within)
-        first = self._list.first_wait()
-        if first is not None:
-            self._after(first, lambda _: self._list.ask())
+        self._list = ListFollowing(rng, ask_within) if ask_for_list else None
+        if self._list is not None:
+            self._after(self._list.first_wait(), lambda _: host.watch_list(True))
 
     # Logins
 
@@ -996,7 +965,7 @@
                 # Guards against pushing over a server that came back cold before the list says so.
                 known.started_at = max(known.started_at, now)
                 self._host.log(f"server {server} answers again: taken as just started")
-            known.silent = 0
+            known.silent, known.read_at = 0, now
             if report is not None:
                 self._counts.take(now, known, report)
                 self._moves.cool(now, known)
@@ -1012,12 +981,12 @@
 
     def servers_listed(self, now: int, scope: Scope, revision: int, lines: Iterable[Listed]) -> None:
         if scope is Scope.FAILED:
-            wait = self._list.failed()
-            if wait is not None:
-                self._after(wait, lambda _: self._list.ask())
+            if self._list is not None:
+                self._after(self._list.failed(), lambda _: self._host.watch_list(True))
+                self._host.log(f"list watch failed {self._list.failures} times in a row")
             return
-        if scope is not Scope.CACHED:
-            self._list.answered()
+        if scope is not Scope.CACHED and self._list is not None:
+            self._list.failures = 0
         started, left = self._roster.apply(now, scope, lines)
         for server in left:
             self._moves.evacuate(server, "drains" if server.status is Status.DRAINING else "is gone")
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -25,7 +25,8 @@
             zone=0, balancers=2, workloads=[Workload("plain", 1.0, 800 * MS, 3200 * MS)], per_work=False,
             cold=ColdRule(0.3, 9000 * MS, 3.0, 1000 * MS), max_hand_offs=4,
             cancel_allowed=True, max_retry_after=0, probes_allowed=True, ask_for_list=False,
-            ask_within=10_000 * MS, grouped=False, weight_varies=False, memory=0, crossing_price=0.0, probe_price=0.0)
+            ask_within=10_000 * MS, grouped=False, weight_varies=False, memory=0,
+            crossing_price=0.0, probe_price=0.0)
         self.balancer = Balancer(self, Random(seed), now=self.now, **(defaults | settings))
 
     # Host
