--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -398,7 +398,7 @@
         most = max(1.0, part)
         if server.cold_spent + min(held.load, most) > most + 1e-9:
             return False
-        # Guards against hundreds of balancers that each round their part of a server up to one connection: less
+        # Guards against hundreds of balancers that each round their part of a server up to a connection: less
         # is taken as a chance, by the logins this balancer places in a span. Of those that come back all
         # balancers may have some at once, so a span is taken to hold one at least.
         logins = self._means.rate(now) * self._rule.span / SECOND
