--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from math import log
 from random import Random
 
 from corklift.interface import (ColdRule, Effect, Host, Listed, Login, NoteKind, Outcome, Reach, Report,
@@ -44,7 +45,8 @@
 DEAR_PROBING = 0.02  # of what logins are worth: where probing all servers costs more, only some are probed
 SOME_PROBING = 0.005  # of what logins are worth: what the standing probes of some servers may cost then
 ASK_FIRST = 3  # servers asked before a hand-off where only some are probed; later rounds ask more
-ASK_ROUNDS = 3
+ASK_ROUNDS = 2
+FULL_LASTS = PROBE_PERIOD  # a fleet asked and found full is taken to be
 JOIN_WITHIN = PROBE_PERIOD // 20  # a probe sent so lately is waited for, not sent again
 ASK_PART = 0.25  # of the soft limit, for the answers of one round
 GROUPS_LIKELY = 40  # of unknown size; what is seen of a group's share is drawn towards that of one of them
@@ -61,9 +63,7 @@
         self.mean: float | None = None
 
     def add(self, value: float) -> None:
-        index, edge = 0, self.RATIO
-        while value > edge and index < self.BINS:
-            index, edge = index + 1, edge * self.RATIO
+        index = min(self.BINS, max(0, int(log(max(value, 1.0), self.RATIO))))
         self._bins[index] = self._bins.get(index, 0.0) + 1.0
         self._total += 1.0
         if self._total >= self.HALVE_AT:
@@ -111,7 +111,7 @@
 class Held:
     """A login this balancer answers for, or the connection it became."""
 
-    __slots__ = ("login", "attempts", "is_open", "load", "round", "asked", "some", "turn",
+    __slots__ = ("login", "attempts", "is_open", "load", "round", "asked", "some", "order", "turn",
                  "awaits", "turns")
 
     def __init__(self, login: Login, load: float) -> None:
@@ -121,6 +121,7 @@
         self.round = 0  # of asking servers before a hand-off
         self.asked = 0  # rounds
         self.some: list[Server] = []  # of its group's homes, asked first
+        self.order: list[Server] = []  # of servers, where it has no group
         self.turn, self.awaits = 0, 0  # which asking it was, and the answers it waits for
         self.turns: dict[int, float] = {}  # its chance to be sent to each cold server, drawn once
 
@@ -135,9 +136,9 @@
 
     def apply(self, now: int, scope: Scope, lines: Iterable[Listed]) -> tuple[list[Server], list[Server]]:
         """Takes the list in; returns (started, left): servers new or restarted, servers draining or gone."""
-        started, left, named = [], [], {}
+        started, left, named = [], [], set()
         for line in lines:
-            named[line.server] = True
+            named.add(line.server)
             server = self.servers.get(line.server)
             if server is None:
                 if line.status is Status.GONE:
@@ -147,6 +148,8 @@
                     started.append(server)
                 continue
             server.weight = line.weight
+            if line.status is server.status and line.started_at <= server.started_at:
+                continue
             if line.status is Status.READY and (line.started_at > server.started_at
                                                 or server.status is not Status.READY):
                 server.started_at = max(server.started_at, line.started_at)
@@ -165,8 +168,8 @@
         if started or left:
             self.version += 1
             self.ready = [server for server in self.servers.values() if server.status is Status.READY]
-        for server in [s for s in self.servers.values() if s.status is Status.GONE and not s.open]:
-            del self.servers[server.id]
+            for server in [s for s in self.servers.values() if s.status is Status.GONE and not s.open]:
+                del self.servers[server.id]
         return started, left
 
 
@@ -197,7 +200,7 @@
             self._kinds.setdefault(server.kind, Histogram()).add(size)
         # Guards against CPU growing with the square of the fleet: weighed ten times a second at most.
         if now >= self._weigh_at:
-            self._weigh_at = now + PROBE_PERIOD // 10
+            self._weigh_at = now + (PROBE_PERIOD if self.some_only else PROBE_PERIOD // 10)
             self._weigh(now)
 
     def _weigh(self, now: int) -> None:
@@ -425,8 +428,9 @@
         self.group_load: dict[int, int] = {}  # own open connections of each group
         self.total_load = 0
         self._homes: dict[int, int] = {}  # where a group's last connection was opened
-        self._orders: dict[int, list[Server]] = {}  # of the ready servers, for each group, and for which list
+        self._orders: dict[tuple[int, bool], list[Server]] = {}  # of the ready servers, for a group
         self._orders_of = 0
+        self._full_until = 0  # until then a login is not asked for beyond its homes
         self._seen: dict[int, float] = {}  # logins of each group, halved now and then
         self._seen_total = 0.0
 
@@ -479,8 +483,8 @@
         return (now >= server.full_until and not self._late(now, server, 1.0)
                 and (self._counts.projected(server) or 0.0) < FULL - self._reserves[held.login.workload])
 
-    def _in_order(self, now: int, held: Held, allowed: Callable[[Server], bool]) -> list[Server]:
-        """Servers for a login where only some are probed: own holders of its group, then the group's order.
+    def _in_order(self, now: int, held: Held, allowed: Callable[[Server], bool], enough: int) -> list[Server]:
+        """The first servers for a login where only some are probed: in its group's order.
 
         The order comes from the ids alone, so hundreds of balancers that never speak gather a group alike,
         each with few of its connections. A login without a group has an order of its own, at random.
@@ -489,20 +493,31 @@
             self._orders_of = self._roster.version
             self._orders.clear()
         group = held.login.group if self._grouped else 0
-        order = self._orders.get(group)
-        if order is None:
-            key = group or held.login.login
-            order = sorted(self._roster.ready, key=lambda s: _rank(key, s.id))
+        near = self._stays_near(held.login)
+        order = self._orders.get((group, near)) if group else held.order
+        if not order:
+            order = (sorted(self._roster.ready, key=lambda s: _rank(group, s.id)) if group
+                     else self._rng.sample(self._roster.ready, len(self._roster.ready)))
+            if near:
+                order.sort(key=lambda s: s.zone != self._zone)
             if group:
-                self._orders[group] = order
+                self._orders[group, near] = order
+            held.order = order
         tried = [attempt.server for attempt in held.attempts]
-        able = [s for s in order if allowed(s) and now >= s.full_until and not self._late(now, s, 0.5)
-                and self._cold.allows(now, s, held, self._rng)]
-        untried = [s for s in able if s.id not in tried] or able
-        well = [s for s in untried if self._health.in_draw(now, s)] or untried
-        near = self._stays_near(held.login)
-        return sorted(well, key=lambda s: (group > 0 and group not in s.groups,
-                                           near and s.zone != self._zone))
+        able: list[Server] = []
+        rest: list[Server] = []
+        # Guards against CPU that grows with the fleet for each login: the walk ends with the first few.
+        for server in order:
+            if (server.status is Status.READY and now >= server.full_until and allowed(server)
+                    and not self._late(now, server, 0.5)
+                    and self._cold.allows(now, server, held, self._rng)):
+                if server.id in tried or not self._health.in_draw(now, server):
+                    rest.append(server)
+                    continue
+                able.append(server)
+                if len(able) >= enough:
+                    break
+        return able or rest
 
     def saw_group(self, group: int) -> None:
         self._seen[group] = self._seen.get(group, 0.0) + 1.0
@@ -529,16 +544,19 @@
         scatter until every server pays for every group.
         """
         self._counts.expire(now)
-        able = self._in_order(now, held, allowed)
         group = held.login.group if self._grouped else 0
-        homes = able[:self._homes_needed(group)] if group else able[:ASK_FIRST]
+        number = self._homes_needed(group) if group else ASK_FIRST
+        rounds = 1 if now < self._full_until else ASK_ROUNDS
         while True:
+            further = ASK_FIRST << held.round if held.round > 1 else 0
+            able = self._in_order(now, held, allowed, number + further)
+            homes = able[:number]
             # A few of the homes first, then all of them, then further servers in order.
             if not held.round:
                 held.some = held.some or self._rng.sample(homes, min(len(homes), ASK_FIRST))
                 first = held.some
             else:
-                first = able[:len(homes) + (ASK_FIRST << held.round if held.round > 1 else 0)]
+                first = able
             unheard = [s for s in first if not self._counts.heard(now, s)
                        and (not s.asked_at or now - s.asked_at < JOIN_WITHIN)]
             if unheard and held.asked < held.round + 1:
@@ -556,16 +574,22 @@
                 for server in known:
                     if not group or (self._counts.projected(server) or 0.0) < ROOM - GROUP_MARGIN:
                         return [], server
-            if held.round >= ASK_ROUNDS:
+            if held.round >= rounds:
                 # None has answered: the design's even draw.
                 unheard_of = able and not any(self._counts.heard(now, s) for s in first)
-                return [], self._rng.choice(able) if unheard_of else None
+                if unheard_of:
+                    return [], self._rng.choice(able)
+                # Guards against probes and CPU spent on a full fleet for each of a flood of logins.
+                if held.round == ASK_ROUNDS:
+                    self._full_until = now + FULL_LASTS
+                return [], None
             held.round += 1
 
     def _weighted(self, servers: list[Server]) -> Server:
         if len(servers) == 1:
             return servers[0]
-        mean = self._counts.mean_per_power(self._roster.ready)
+        unread = any(s.count is None and s.pressure is None for s in servers)
+        mean = self._counts.mean_per_power(self._roster.ready) if unread else 0.0
         weights = [s.power / (self._counts.per_power(s, mean) + 1.0) for s in servers]
         return self._rng.choices(servers, weights)[0]
 
@@ -632,9 +656,7 @@
     """When a login may be sent again, for how long a hand-off may take, and which last answer is honest."""
 
     def __init__(self, workloads: list[Workload], roster: Roster, max_hand_offs: int) -> None:
-        self._workloads = workloads
-        self._roster = roster
-        self._max = max_hand_offs
+        self._workloads, self._roster, self._max = workloads, roster, max_hand_offs
         self._resends = RESEND_MOST
 
     def _may_have_run(self, held: Held) -> list[Attempt]:
@@ -691,10 +713,7 @@
     """The exception to kept placements: off a lost or draining server, and off a hot one in bounded steps."""
 
     def __init__(self, host: Host, rng: Random, counts: Counts, group_load: dict[int, int]) -> None:
-        self._host = host
-        self._rng = rng
-        self._counts = counts
-        self._group_load = group_load
+        self._host, self._rng, self._counts, self._group_load = host, rng, counts, group_load
 
     def evacuate(self, server: Server, why: str) -> None:
         if server.open:
@@ -855,14 +874,11 @@
                  cancel_allowed: bool, max_retry_after: int, probes_allowed: bool, probe_price: float,
                  ask_for_list: bool, ask_within: int, grouped: bool, weight_varies: bool, memory: int,
                  crossing_price: float) -> None:
-        self._host = host
-        self._rng = rng
-        self._workloads = workloads
+        self._host, self._rng, self._workloads = host, rng, workloads
         self._listed = False  # whether a list has come
-        self._cancel_allowed = cancel_allowed
+        self._cancel_allowed, self._max_retry_after = cancel_allowed, max_retry_after
         self._remembers = memory > 0
         self._where: dict[int, int] = {}  # the holder of a client's connection, where packets pass
-        self._max_retry_after = max_retry_after
         self._held: dict[int, Held] = {}
         self._cost_sum, self._cost_seen = 0.0, 0
         self._timers: dict[int, Callable[[int], None]] = {}
