--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -46,7 +46,6 @@
 SOME_PROBING = 0.005  # of what logins are worth: what the standing probes of some servers may cost then
 ASK_FIRST = 3  # servers asked before a hand-off where only some are probed; later rounds ask more
 ASK_ROUNDS = 2
-FULL_LASTS = PROBE_PERIOD  # a fleet asked and found full is taken to be
 JOIN_WITHIN = PROBE_PERIOD // 20  # a probe sent so lately is waited for, not sent again
 ASK_PART = 0.25  # of the soft limit, for the answers of one round
 GROUPS_LIKELY = 40  # of unknown size; what is seen of a group's share is drawn towards that of one of them
@@ -77,6 +76,7 @@
 
     def __init__(self, line: Listed, now: int) -> None:
         self.id = line.server
+        self.mixed = line.server * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
         self.zone, self.kind, self.cell, self.weight = line.zone, line.kind, line.cell, line.weight
         self.status, self.started_at, self.listed_at = line.status, line.started_at, now
         self.count: float | None = None
@@ -101,8 +101,6 @@
 
 
 class Attempt:
-    __slots__ = ("server", "sent_at", "outcome")
-
     def __init__(self, server: int, sent_at: int) -> None:
         self.server, self.sent_at = server, sent_at
         self.outcome: Outcome | None = None
@@ -111,9 +109,6 @@
 class Held:
     """A login this balancer answers for, or the connection it became."""
 
-    __slots__ = ("login", "attempts", "is_open", "load", "round", "asked", "some", "order", "turn",
-                 "awaits", "turns")
-
     def __init__(self, login: Login, load: float) -> None:
         self.login, self.load = login, load
         self.attempts: list[Attempt] = []
@@ -233,8 +228,7 @@
 
     def fresh(self, now: int, server: Server) -> bool:
         """Ageing: a server unheard of for the age limit is dropped; a new one is given as long to answer."""
-        limit = RATE_TIME if self.some_only else AGE_LIMIT
-        return now - (server.read_at or server.listed_at) <= limit
+        return now - (server.read_at or server.listed_at) <= (RATE_TIME if self.some_only else AGE_LIMIT)
 
     def heard(self, now: int, server: Server) -> bool:
         """Whether its last report is about as recent as one of the ordinary probes."""
@@ -435,10 +429,7 @@
         self._seen_total = 0.0
 
     def _stays_near(self, login: Login) -> bool:
-        """Logins stay in their zone where a crossing is dear and the fleet has room for groups held twice.
-
-        Clients that come back do not: a drain or a break sends many at once, more than one zone has room for.
-        """
+        """Whether it stays in its zone: crossings dear, room for groups held twice, no flood of returns."""
         return (self._crossing_price > DEAR_CROSSING and not login.came_back
                 and self._counts.mean_pressure < ROOM - GROUP_MARGIN)
 
@@ -496,7 +487,7 @@
         near = self._stays_near(held.login)
         order = self._orders.get((group, near)) if group else held.order
         if not order:
-            order = (sorted(self._roster.ready, key=lambda s: _rank(group, s.id)) if group
+            order = (sorted(self._roster.ready, key=lambda s: _rank(group, s)) if group
                      else self._rng.sample(self._roster.ready, len(self._roster.ready)))
             if near:
                 order.sort(key=lambda s: s.zone != self._zone)
@@ -565,8 +556,7 @@
             known = [s for s in first if self._counts.heard(now, s) and self._not_full(now, s, held)]
             roomy = [s for s in known if s in homes and self.has_room(now, s)]
             if roomy:
-                holders = [s for s in roomy if group in s.groups] if group else []
-                return [], self._weighted(holders or roomy)
+                return [], self._weighted([s for s in roomy if group in s.groups] or roomy)
             if held.round:
                 known_homes = [s for s in known if s in homes]
                 if known_homes:
@@ -581,7 +571,7 @@
                     return [], self._rng.choice(able)
                 # Guards against probes and CPU spent on a full fleet for each of a flood of logins.
                 if held.round == ASK_ROUNDS:
-                    self._full_until = now + FULL_LASTS
+                    self._full_until = now + PROBE_PERIOD
                 return [], None
             held.round += 1
 
@@ -604,7 +594,7 @@
         chosen = [s for s in roomy if s in homes]
         if not chosen:
             spare = self._spill(group, [s for s in roomy if s not in homes], ROOM)
-            spare.sort(key=lambda s: (-s.groups.get(group, 0), _rank(group, s.id)))
+            spare.sort(key=lambda s: (-s.groups.get(group, 0), _rank(group, s)))
             chosen = _enough(spare, sum(s.power for s in homes))
         return chosen or [s for s in fresh if s in homes] or self._spill(group, fresh, FULL)
 
@@ -614,7 +604,7 @@
         need = share * GROUP_SPREAD * sum(server.power for server in self._roster.ready)
         last = self._homes.get(group)
         return _enough(sorted(self._roster.ready, key=lambda s: (-s.groups.get(group, 0), s.id != last,
-                                                                 _rank(group, s.id))), need)
+                                                                 _rank(group, s))), need)
 
     def _spill(self, group: int, servers: list[Server], limit: float) -> list[Server]:
         """Servers with room for the login, and for the group's own cost where they don't hold it."""
@@ -645,11 +635,9 @@
     return servers
 
 
-def _rank(group: int, server: int) -> int:
-    value = (group ^ (server * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & 0xFFFFFFFFFFFFFFFF
-    return value ^ (value >> 31)
+def _rank(group: int, server: Server) -> int:
+    """The group's own order of servers, alike at every balancer; its high bits mix all of both ids."""
+    return (group ^ server.mixed) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
 
 
 class HandOffs:
@@ -762,9 +750,6 @@
         self._most = ask_within // 4
         self.failures = 0  # in a row
 
-    def first_wait(self) -> int:
-        return int(self._rng.random() * PROBE_PERIOD)
-
     def failed(self) -> int:
         self.failures += 1
         return int(min(self._most, PROBE_PERIOD << min(self.failures - 1, 4)) * self._rng.uniform(0.3, 1.0))
@@ -899,9 +884,7 @@
                                 probes_allowed)
         self._list = ListFollowing(rng, ask_within) if ask_for_list else None
         if self._list is not None:
-            self._after(self._list.first_wait(), lambda _: host.watch_list(True))
-
-    # Logins
+            self._after(int(rng.random() * PROBE_PERIOD), lambda _: host.watch_list(True))
 
     def login_arrived(self, now: int, login: Login) -> None:
         held = Held(login, self._like(login.cost))
@@ -967,8 +950,6 @@
                 self._host.cancel(login, len(held.attempts) - 1)
             self._forget(held)
 
-    # Servers
-
     def probe_answered(self, now: int, server: int, delay: int, outcome: Outcome,
                        report: Report | None) -> None:
         known = self._roster.servers.get(server)
@@ -1017,8 +998,6 @@
         if action is not None:
             action(now)
 
-    # Inner steps
-
     def _after(self, wait: int, action: Callable[[int], None]) -> None:
         mark = self._next_mark
         self._next_mark += 1
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -254,3 +254,120 @@
     assert {scene.login(n, subject=5, mid_flow=True) for n in range(2, 12)} == {first}
     scene.balancer.login_dropped(scene.now, 2)
     assert not [line for line in scene.lines if "cancel" in line]  # not where settings forbid it
+
+
+def many(servers: int, balancers: int = 100, answer: Report | Outcome = Report(10, 0.4), **settings) -> Scene:
+    """A scene of one balancer of many, each probe paid for."""
+    scene = Scene(balancers=balancers, probe_price=0.002, **settings)
+    scene.listed(*range(1, servers + 1))
+    scene.auto = {server: answer for server in range(1, servers + 1)}
+    scene.run(10)
+    return scene
+
+
+def test_one_of_many_balancers_probes_some_and_exchanges_one():
+    # Guards against hundreds of balancers that each probe a whole large fleet for a login now and then.
+    scene, asked = many(40), []
+    probe = scene.probe
+    scene.probe = lambda server: (asked.append(server), probe(server))
+    scene.run(60_000)
+    assert 15 <= len(asked) <= 25 and len(set(asked)) > 10  # one in an age limit, not always the same
+
+
+@pytest.mark.parametrize("balancers, price, probed", [(3, 0.002, 0), (100, 0.002, 1), (100, 0.0, 0)])
+def test_some_servers_only_where_balancers_outnumber_them_or_probes_are_dear(balancers, price, probed):
+    scene = Scene(balancers=balancers, probe_price=price)
+    scene.listed(*range(1, 13))
+    for number in range(900, 940):
+        scene.balancer.connection_carried(scene.now, Login(number, 0, 0, 0, 0, None, 0), 1 + number % 12)
+    scene.auto = {server: Report(5, 0.4) for server in range(1, 13)}
+    asked, probe = set(), scene.probe
+    scene.probe = lambda server: (asked.add(server), probe(server))
+    scene.run(2000)
+    assert (len(asked) < 12) is bool(probed)
+
+
+def test_a_group_is_gathered_alike_by_balancers_that_never_speak():
+    # Guards against groups that scatter, as each of hundreds of balancers knows few of their connections.
+    places = Counter()
+    for seed in range(30):
+        scene = many(40, seed=seed, grouped=True)
+        scene.login(1, group=77)
+        scene.run(300)
+        places[scene.sent[-1][1]] += 1
+    assert len(places) <= 3
+
+
+def test_a_full_home_is_passed_over_and_a_full_fleet_bounces():
+    scene = many(12, grouped=True)
+    scene.login(1, group=77)
+    scene.run(300)
+    home = scene.sent[-1][1]
+    scene.auto[home] = Report(30, 0.95)
+    scene.run(2000)
+    scene.login(2, group=77)
+    scene.run(300)
+    assert scene.sent[-1][0] == 2 and scene.sent[-1][1] != home
+    scene.auto = {server: Report(30, 0.95) for server in scene.auto}
+    scene.run(2000)
+    scene.login(3, group=77)
+    scene.run(1000)
+    assert "bounce 3" in scene.lines[-1]
+
+
+def test_asked_servers_that_stay_silent_lead_to_an_even_draw_in_time():
+    scene = many(6, answer=Outcome.TIMED_OUT)
+    scene.lines.clear()
+    scene.login(1)
+    scene.run(1000)
+    assert [login for login, _ in scene.sent] == [1]
+
+
+def test_answers_without_a_report_are_answers():
+    scene = many(6, answer=Report())
+    scene.login(1)
+    scene.run(300)
+    assert scene.sent
+
+
+@pytest.mark.parametrize("left", [1, 0])
+def test_a_fleet_that_shrinks_under_a_waiting_login(left):
+    scene = many(30)
+    scene.auto = {}  # nothing answers yet
+    scene.login(1)
+    scene.listed(*range(1, left + 1))
+    scene.run(3000)
+    answered = [line for line in scene.lines if "bounce 1" in line] + [s for s in scene.sent if s == (1, 1)]
+    assert len(answered) == 1
+
+
+def test_a_list_that_grows_tenfold_is_used_and_a_dropped_login_waits_no_more():
+    scene = many(3, balancers=2)
+    scene.listed(*range(1, 31))
+    scene.auto = {server: Report(1, 0.1) for server in range(1, 31)}
+    scene.run(4000)
+    for number in range(1, 40):
+        scene.login(number)
+    scene.run(500)
+    assert len({server for _, server in scene.sent}) > 3
+    scene.auto, scene.sent = {}, []
+    scene.run(3000)
+    scene.login(99)
+    scene.balancer.login_dropped(scene.now, 99)
+    scene.run(3000)
+    assert not [login for login, _ in scene.sent if login == 99]
+
+
+def test_hundreds_of_balancers_share_a_cold_servers_budget_by_chance():
+    # Guards against each rounding its part of a few connections up to one: all of them at once push it over.
+    sent = 0
+    for seed in range(300):
+        scene = Scene(seed=seed, balancers=300, probe_price=0.002)
+        scene.listed(1, 2)
+        scene.listed(2, scope=Scope.DELTA, started_at=scene.now)
+        scene.auto = {1: Report(20, 0.6), 2: Report(0, 0.0)}
+        scene.run(100)
+        scene.login(1, came_back=True)
+        scene.run(400)
+        sent += scene.sent[-1][1] == 2
+    assert sent <= 30
