--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -117,6 +117,7 @@
         self.asked = 0  # rounds
         self.some: list[Server] = []  # of its group's homes, asked first
         self.order: list[Server] = []  # of servers, where it has no group
+        self.able: list[Server] = []  # the first of them that may be sent to
         self.turn, self.awaits = 0, 0  # which asking it was, and the answers it waits for
         self.turns: dict[int, float] = {}  # its chance to be sent to each cold server, drawn once
 
@@ -500,9 +501,10 @@
         # Guards against CPU that grows with the fleet for each login: the walk ends with the first few.
         for server in order:
             if (server.status is Status.READY and now >= server.full_until and allowed(server)
-                    and not self._late(now, server, 0.5)
-                    and self._cold.allows(now, server, held, self._rng)):
-                if server.id in tried or not self._health.in_draw(now, server):
+                    and (not server.delay or not self._late(now, server, 0.5))
+                    and (not server.started_at or self._cold.allows(now, server, held, self._rng))):
+                doubted = server.fails or server.silent
+                if server.id in tried or (doubted and not self._health.in_draw(now, server)):
                     rest.append(server)
                     continue
                 able.append(server)
@@ -539,39 +541,33 @@
         number = self._homes_needed(group) if group else ASK_FIRST
         rounds = 1 if now < self._full_until else ASK_ROUNDS
         while True:
+            # A few of the homes first, then all of them, then further servers in order.
             further = ASK_FIRST << held.round if held.round > 1 else 0
-            able = self._in_order(now, held, allowed, number + further)
+            if further or not held.able:
+                held.able = self._in_order(now, held, allowed, number + further)
+            able = [s for s in held.able if s.status is Status.READY]  # a drain may have come
             homes = able[:number]
-            # A few of the homes first, then all of them, then further servers in order.
-            if not held.round:
-                held.some = held.some or self._rng.sample(homes, min(len(homes), ASK_FIRST))
-                first = held.some
-            else:
-                first = able
+            held.some = held.some or self._rng.sample(homes, min(len(homes), ASK_FIRST))
+            first = able if held.round else held.some
             unheard = [s for s in first if not self._counts.heard(now, s)
                        and (not s.asked_at or now - s.asked_at < JOIN_WITHIN)]
             if unheard and held.asked < held.round + 1:
                 held.asked = held.round + 1
                 return unheard, None
-            known = [s for s in first if self._counts.heard(now, s) and self._not_full(now, s, held)]
-            roomy = [s for s in known if s in homes and self.has_room(now, s)]
-            if roomy:
-                return [], self._weighted([s for s in roomy if group in s.groups] or roomy)
-            if held.round:
-                known_homes = [s for s in known if s in homes]
-                if known_homes:
-                    return [], self._weighted(known_homes)
-                for server in known:
-                    if not group or (self._counts.projected(server) or 0.0) < ROOM - GROUP_MARGIN:
-                        return [], server
+            known = [s for s in first if self._counts.heard(now, s) and self._not_full(now, s, held)
+                     and s in able]
+            known_homes = [s for s in known if s in homes]
+            roomy = [s for s in known_homes if self.has_room(now, s)]
+            if roomy or (known_homes and held.round):
+                return [], self._weighted([s for s in roomy if group in s.groups] or roomy or known_homes)
+            for server in known if held.round else []:
+                if not group or (self._counts.projected(server) or 0.0) < ROOM - GROUP_MARGIN:
+                    return [], server
             if held.round >= rounds:
-                # None has answered: the design's even draw.
-                unheard_of = able and not any(self._counts.heard(now, s) for s in first)
-                if unheard_of:
-                    return [], self._rng.choice(able)
+                if able and not any(self._counts.heard(now, s) for s in first):
+                    return [], self._rng.choice(able)  # none has answered: the design's even draw
                 # Guards against probes and CPU spent on a full fleet for each of a flood of logins.
-                if held.round == ASK_ROUNDS:
-                    self._full_until = now + PROBE_PERIOD
+                self._full_until = now + PROBE_PERIOD if held.round == ASK_ROUNDS else self._full_until
                 return [], None
             held.round += 1
 
@@ -1034,7 +1030,7 @@
         self._counts.placed(now, server, held)
         cut_at = self._hand_offs.cut_at(now, held)
         held.attempts.append(Attempt(server.id, now))
-        held.round, held.asked, held.some = 0, 0, []
+        held.round, held.asked, held.some, held.able = 0, 0, [], []
         self._host.hand_off(login, server.id, cut_at)
 
     def _holder(self, now: int, held: Held) -> Server | None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -371,3 +371,13 @@
         scene.run(400)
         sent += scene.sent[-1][1] == 2
     assert sent <= 30
+
+
+def test_a_server_that_drains_while_a_login_waits_for_its_answer_gets_nothing():
+    # Guards against sending to a server chosen before the list told of its drain.
+    scene = many(2, grouped=True)
+    scene.auto = {}
+    scene.login(1, group=77)
+    scene.listed(1, scope=Scope.DELTA, status=Status.DRAINING)
+    scene.run(2000)
+    assert scene.sent == [(1, 2)]
