--- a/corklift/benchlink/__main__.py
+++ b/corklift/benchlink/__main__.py
@@ -145,7 +145,7 @@
 
 def main() -> int:
     gc.freeze()
-    gc.set_threshold(200_000, 50, 1000)
+    gc.set_threshold(50_000, 20, 20)
     link = Link()
     source, sink = sys.stdin.buffer, sys.stdout.buffer
     try:
