SIGHUP reads the configuration anew and moves the watch at once; a bad file changes nothing

Cause: no handler for SIGHUP (__main__.Process.run), and a watch that could not leave its address (upkeep.Watch). Now the file is checked whole (Configuration), then discovery, limits and listening address are taken; Scheduler.interrupt ends whatever the watch waits for. An exception in a signal's handling no longer ends the process.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -9,13 +9,13 @@
 import signal
 import sys
 import traceback
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
 
-from corklift.interface import Scope
+from corklift.interface import NoteKind, Scope
 from corklift.net.facade import Facade
 from corklift.net.limits import MS, BadConfig, Counters, Limits, Printer, need
-from corklift.net.parsers import Malformed, listing
+from corklift.net.parsers import Listing, Malformed, listing
 from corklift.net.relay import Relay
 from corklift.net.scheduler import WRITE, Scheduler, wall_clock
 from corklift.net.stream import Stream
@@ -30,6 +30,13 @@
     return host, int(port)
 
 
+def _names(settings: dict[str, Any], key: str) -> list[str]:
+    names = settings.get(key) or []
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise BadConfig(f"config: settings.{key} holds {names!r:.60}")
+    return names
+
+
 def _read(path: str | None) -> Any:
     if not path:
         raise BadConfig("config: BALANCER_CONFIG is not set")
@@ -40,12 +47,23 @@
         raise BadConfig(f"config: BALANCER_CONFIG: {problem}") from None
 
 
-class Process:
-    """The parts of one balancer, put together."""
+class Configuration(NamedTuple):
+    """All that the file tells, read and checked before any of it is used."""
 
-    def __init__(self, config: Any, now: Callable[[], int] | None = None, poller: Any = None) -> None:
-        self.counters = Counters()
-        now = now or wall_clock()
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    known: Listing
+    limits: Limits
+    arguments: dict[str, Any]  # of the decisions
+    report_names: dict[str, str]
+    told: tuple[NoteKind, int] | None
+    localities: list[str]
+    kinds: list[str]
+    kept_for: int  # how long a connection for probes idles
+
+    @classmethod
+    def of(cls, config: Any) -> Configuration:
         listen, discovery = _address(config, "listen"), _address(config, "discovery")
         seed = need(config, "seed", (str, int))
         try:
@@ -53,33 +71,50 @@
         except ValueError:
             raise BadConfig(f"config: seed holds {seed!r:.60}") from None
         settings = need(config, "settings", dict)
-        arguments, _ = translate(settings)
+        try:
+            arguments, _ = translate(settings)
+            names, told = report_names(settings), told_figure(settings)
+        except BadSettings as problem:
+            raise BadConfig(str(problem)) from None
+        except (TypeError, ValueError, KeyError, AttributeError, OverflowError) as problem:
+            raise BadConfig(f"config: settings: {problem!r:.60}") from None
         try:
             known = listing(need(config, "known", dict))
         except Malformed as problem:
             raise BadConfig(f"config: known: {problem}") from None
         allow = need(settings, "permissions", dict, "settings.")
         connect_time = need(allow, "connect-timeout-ns", int, "settings.permissions.")
-        kept_for = need(allow, "keepalive-ns", int, "settings.permissions.")
         longest = max(workload.time_limit for workload in arguments["workloads"])
-        self.limits = limits = Limits.of(need(config, "limits", dict), connect_time, len(known.entries), longest)
+        given = need(config, "limits", dict)
+        given = given | {"sockets": _allow_sockets(need(given, "sockets", int, "limits."))}
+        return cls(listen, discovery, seed, known, Limits.of(given, connect_time, len(known.entries), longest),
+                   arguments, names, told, _names(settings, "localities"), _names(settings, "skus"),
+                   need(allow, "keepalive-ns", int, "settings.permissions."))
+
+
+class Process:
+    """The parts of one balancer, put together."""
+
+    def __init__(self, config: Any, now: Callable[[], int] | None = None, poller: Any = None) -> None:
+        self.counters = Counters()
+        now = now or wall_clock()
+        self._configuration = given = Configuration.of(config)
+        self.limits = limits = given.limits
         self.printer = Printer(limits, now, self.counters)
         self.scheduler = scheduler = Scheduler(now, self._failed, poller)
-        self.facade = Facade(scheduler, seed, arguments, report_names(settings), told_figure(settings),
-                             settings.get("localities", []), settings.get("skus", []), limits.settle_time,
-                             self.printer.say, self.counters)
+        self.facade = Facade(scheduler, given.seed, given.arguments, given.report_names, given.told,
+                             given.localities, given.kinds, limits.settle_time, self.printer.say, self.counters)
         self.relay = Relay(scheduler, limits, self.counters, self.facade)
-        self.port = self.relay.listen(listen)
-        self.probes = Probes(scheduler, limits, self.counters, self.facade, kept_for)
-        self.watch = Watch(scheduler, limits, self.counters, self.printer, self.facade, discovery)
-        self._known = known
+        self.port = self.relay.listen(given.listen)
+        self.probes = Probes(scheduler, limits, self.counters, self.facade, given.kept_for)
+        self.watch = Watch(scheduler, limits, self.counters, self.printer, self.facade, given.discovery)
         self._stopping = False
 
     def start(self) -> None:
         scheduler = self.scheduler
         printing = scheduler.spawn(self._keep_printing)
         self.printer.wake = lambda: scheduler.wake(printing)
-        self.facade.listed(Scope.CACHED, self._known)
+        self.facade.listed(Scope.CACHED, self._configuration.known)
         for job in (self.facade.keep_ticking, self.probes.keep_probing, self.watch.keep_watching,
                     self.relay.keep_accepting, self._get_ready):
             scheduler.spawn(self._keep, job)
@@ -93,7 +128,32 @@
                 self._failed(traceback.format_exc(limit=-4))
                 self.scheduler.sleep(20 * MS)
 
-    def run(self) -> None:
+    def reload(self) -> None:
+        """Takes what a new configuration changes; clients, the list and all counts stay. A bad one changes nothing."""
+        old = self._configuration
+        try:
+            new = Configuration.of(_read(os.environ.get("BALANCER_CONFIG")))
+            if new.listen != old.listen and not self._stopping:
+                self.port = self.relay.listen(new.listen)
+        except (BadConfig, OSError) as problem:
+            self.counters["configurations refused"] += 1
+            what = problem if isinstance(problem, BadConfig) else f"config: listen: {problem}"
+            self.printer.say(f"{what}; the old configuration stays in force", always=True)
+            return
+        self._configuration, self.limits = new, new.limits
+        self.printer.limits = new.limits
+        self.relay.reconfigure(new.limits)
+        self.probes.reconfigure(new.limits, new.kept_for)
+        self.watch.follow(new.discovery, new.limits)
+        changed = [name for name in new._fields if getattr(new, name) != getattr(old, name)]
+        self.counters["configurations taken"] += 1
+        self.printer.say(f"configuration read anew, changed: {' '.join(changed) or 'nothing'}", always=True)
+
+    def run(self, early: Sequence[int] = ()) -> None:
+        """Serves until told to stop; `early` holds the signals to reload that came while it was put together."""
+        self.scheduler.on_signal(signal.SIGHUP, lambda: self.scheduler.spawn(self.reload))
+        if early:
+            self.scheduler.spawn(self.reload)
         self.scheduler.on_signal(signal.SIGTERM, self.leave)
         self.scheduler.on_signal(signal.SIGINT, self.leave)
         self.scheduler.on_signal(signal.SIGUSR1, self._tell_counters)
@@ -145,24 +205,28 @@
     """Lets this process hold so many descriptors, as far as the system does; returns how many it may."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft < wanted:
-        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        may = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (may, hard))
+            soft = may
+        except (ValueError, OSError, OverflowError):
+            pass  # the system says no: what it allows already has to do
     return min(wanted, soft)
 
 
 def main() -> int:
+    # Guards against the signal's usual effect, an end, and its loss before the first configuration is in use.
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
-        config = _read(os.environ.get("BALANCER_CONFIG"))
-        limits = need(config, "limits", dict)
-        limits["sockets"] = _allow_sockets(need(limits, "sockets", int, "limits."))
-        process = Process(config)
-    except (BadConfig, BadSettings) as problem:
+        process = Process(_read(os.environ.get("BALANCER_CONFIG")))
+    except BadConfig as problem:
         print(f"corklift: {problem}", file=sys.stderr)
         return 2
     except OSError as problem:
         print(f"corklift: listen: {problem}", file=sys.stderr)
         return 2
-    process.run()
+    process.run(early)
     return 0
 
 
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -11,6 +11,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import isfinite
 from typing import Any
 
 MS = 1_000_000
@@ -26,7 +27,7 @@
     if not isinstance(table, dict) or key not in table:
         raise BadConfig(f"config: {where}{key} is missing")
     value = table[key]
-    if not isinstance(value, kind) or isinstance(value, bool):
+    if not isinstance(value, kind) or isinstance(value, bool) or (isinstance(value, float) and not isfinite(value)):
         raise BadConfig(f"config: {where}{key} holds {value!r:.60}")
     return value
 
@@ -100,7 +101,7 @@
     """Lines for standard error: so many a second, never waiting for whoever reads them."""
 
     def __init__(self, limits: Limits, now: Callable[[], int], counters: Counters) -> None:
-        self._limits, self._now, self._counters = limits, now, counters
+        self.limits, self._now, self._counters = limits, now, counters
         self._queue: deque[str] = deque()
         self._left, self._second, self._dropped = limits.printed, 0, 0
         self.wake: Callable[[], None] = lambda: None
@@ -108,8 +109,8 @@
     def say(self, text: str, always: bool = False) -> None:
         second = self._now() // SECOND
         if second != self._second:
-            self._second, self._left = second, self._limits.printed
-        if not always and (self._left <= 0 or len(self._queue) >= self._limits.print_queue):
+            self._second, self._left = second, self.limits.printed
+        if not always and (self._left <= 0 or len(self._queue) >= self.limits.print_queue):
             self._dropped += 1
             self._counters["log lines dropped"] += 1
             return
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -41,7 +41,8 @@
     def __init__(self, scheduler: Scheduler, limits: Limits, counters: Counters, facade: Facade) -> None:
         self._scheduler, self._limits, self._counters, self._facade = scheduler, limits, counters, facade
         self._now = scheduler.now
-        self._listener: socket.socket | None = None
+        self._listeners: list[socket.socket] = []  # the last is the one in force
+        self._acceptor: Task | None = None
         self.ready = False  # PING is answered
         self._waiting: dict[Stream, Task] = {}  # clients not placed, oldest first
         self._unwanted: set[Stream] = set()  # those among them that must make room
@@ -58,31 +59,50 @@
         sock.bind(address)
         sock.listen(4096)
         sock.setblocking(False)
-        self._listener = sock
+        self._listeners.append(sock)
+        if self._acceptor is not None:
+            self._scheduler.wake(self._acceptor)
         return sock.getsockname()[1]
 
+    def reconfigure(self, limits: Limits) -> None:
+        """What is held beyond new limits stays until it ends; nothing further is taken meanwhile."""
+        self._limits = limits
+
     def keep_accepting(self) -> None:
-        listener = self._listener
-        assert listener is not None
+        self._acceptor = self._scheduler.current
         while True:
-            self._scheduler.wait({listener.fileno(): READ})
+            got = self._scheduler.wait({listener.fileno(): READ for listener in self._listeners})
             if len(self._waiting) >= self._limits.waiting:
                 self._make_room()
                 continue
-            for _ in range(min(ACCEPTED_AT_ONCE, self._limits.waiting - len(self._waiting))):
-                try:
-                    sock, _ = listener.accept()
-                except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                    break
-                except OSError as problem:
-                    if problem.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                        raise
-                    self._counters["no descriptor for a client"] += 1
-                    self._scheduler.sleep(20 * MS)
-                    break
-                self._counters["clients in"] += 1
-                client = Stream(sock, self._limits)
-                self._waiting[client] = self._scheduler.spawn(self._serve, client)
+            for listener in list(self._listeners):
+                # Guards against clients that came to an address just before it was given up, and wait there.
+                left = listener is not self._listeners[-1]
+                if listener.fileno() in got or left:
+                    emptied = self._accept(listener)
+                    if left and emptied:
+                        self._listeners.remove(listener)
+                        listener.close()
+
+    def _accept(self, listener: socket.socket) -> bool:
+        """Takes in some of those who wait at the door; returns whether that were all."""
+        for _ in range(min(ACCEPTED_AT_ONCE, self._limits.waiting - len(self._waiting))):
+            try:
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionAbortedError):
+                continue
+            except OSError as problem:
+                if problem.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    raise
+                self._counters["no descriptor for a client"] += 1
+                self._scheduler.sleep(20 * MS)
+                break
+            self._counters["clients in"] += 1
+            client = Stream(sock, self._limits)
+            self._waiting[client] = self._scheduler.spawn(self._serve, client)
+        return False
 
     def _make_room(self) -> None:
         """Guards against clients without a line that take all descriptors: the oldest of them makes room."""
--- a/corklift/net/scheduler.py
+++ b/corklift/net/scheduler.py
@@ -32,7 +32,7 @@
 class Task:
     """One greenlet and what it waits for."""
 
-    __slots__ = ("_run", "fds", "got", "turn", "waits", "woken", "done")
+    __slots__ = ("_run", "fds", "got", "turn", "waits", "woken", "done", "problem")
 
     def __init__(self, run: Callable[[], None]) -> None:
         self._run = greenlet(run)
@@ -40,6 +40,7 @@
         self.got: dict[int, int] = {}
         self.turn = 0  # of its waits; a timer of an earlier one is void
         self.waits = self.woken = self.done = False
+        self.problem: Exception | None = None  # raised in it by its next wait
 
     def resume(self) -> None:
         self._run.switch()
@@ -84,8 +85,9 @@
         Returns what is ready; nothing after a wake-up or when the time has come.
         """
         task = self.current
-        if task.woken:
+        if task.woken or task.problem:
             task.woken = False
+            self._raise(task)
             return {}
         task.turn += 1
         task.fds, task.got, task.waits = fds, {}, True
@@ -97,8 +99,15 @@
             heapq.heappush(self._timers, (until, self._timer_number, task, task.turn))
         assert self._hub is not None
         self._hub.switch()
+        self._raise(task)
         return task.got
 
+    @staticmethod
+    def _raise(task: Task) -> None:
+        if task.problem is not None:
+            problem, task.problem = task.problem, None
+            raise problem
+
     def sleep(self, span: int) -> None:
         until = self.now() + span
         while self.now() < until:
@@ -110,6 +119,11 @@
         else:
             task.woken = True
 
+    def interrupt(self, task: Task, problem: Exception) -> None:
+        """Raises this in the task, out of whatever it waits for."""
+        task.problem = problem
+        self.wake(task)
+
     def on_signal(self, number: int, run: Callable[[], None]) -> None:
         """Runs this between two tasks when the signal has come; it must not block."""
         if self._bell is None:
@@ -186,4 +200,7 @@
         except BlockingIOError:
             pass
         while self._arrived:
-            self._signals[self._arrived.popleft()]()
+            try:
+                self._signals[self._arrived.popleft()]()
+            except Exception:  # Guards against a signal whose handling fails and ends all connections.
+                self._failed(traceback.format_exc(limit=-4))
--- a/corklift/net/upkeep.py
+++ b/corklift/net/upkeep.py
@@ -27,6 +27,10 @@
     """No answer within its time."""
 
 
+class Redirected(Exception):
+    """Discovery is at another address now."""
+
+
 def connected(scheduler: Scheduler, limits: Limits, address: tuple[str, int], until: int) -> Stream:
     stream = Stream.connect(address, limits)
     try:
@@ -65,6 +69,9 @@
         self._asked: dict[int, deque[Place]] = {}
         self._kept: dict[int, Stream] = {}
 
+    def reconfigure(self, limits: Limits, kept_for: int) -> None:
+        self._limits, self._kept_for = limits, kept_for
+
     def keep_probing(self) -> None:
         while True:
             place = self._facade.next_probe()
@@ -161,7 +168,7 @@
 
 
 class Watch:
-    """Follows the list: the whole of it first, then each change."""
+    """Follows the list: the whole of it first, then each change; anew wherever discovery is said to be."""
 
     def __init__(self, scheduler: Scheduler, limits: Limits, counters: Counters, printer: Printer, facade: Facade,
                  address: tuple[str, int]) -> None:
@@ -171,8 +178,30 @@
         self._index: int | None = None
         self._failures = 0
         self.told = False  # whether discovery has answered yet
+        self._task: Task | None = None
+
+    def follow(self, address: tuple[str, int], limits: Limits) -> None:
+        """Discovery may be elsewhere by a new configuration; the list that is known stays in force."""
+        self._limits = limits
+        if address != self._address:
+            self._address = address
+            if self._task is not None:
+                # Guards against a watch that waits on at the old address: that tells nothing more.
+                self._scheduler.interrupt(self._task, Redirected())
 
     def keep_watching(self) -> None:
+        self._task = self._scheduler.current
+        while True:
+            try:
+                self._watch_here()
+            except Redirected:
+                self._counters["discovery addresses left"] += 1
+                self._failures = 0
+            finally:
+                self._drop()
+                self._index = None  # the whole list first: another discovery numbers its own versions
+
+    def _watch_here(self) -> None:
         while True:
             try:
                 self._call()
--- a/corklift/settings.py
+++ b/corklift/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Any
 
 from corklift.interface import ColdRule, Effect, NoteKind, Reach, Workload
@@ -26,7 +27,7 @@
 
 def _number(table: dict[str, Any], key: str, where: str, default: Any = _ABSENT, least: float = 0) -> Any:
     value = _need(table, key, where, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value >= least:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < inf:
         raise BadSettings(f"settings: {where}{key} holds {value!r}, a number of at least {least} is needed")
     return value
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import select
 import socket
 from pathlib import Path
@@ -156,10 +157,11 @@
         self.behaviour = {f"s{number}": act for number, act in enumerate(servers, 1)}
         self.listeners = {name: self._listener() for name in self.behaviour}
         self.agent = self._listener()
+        self.agents = 1
         self.index, self.watch_answer, self.watcher, self.told = 1, None, None, []
         self.probed = None  # how servers answer probes, if unlike the ordinary way
         entries = [self.entry(name) for name in self.behaviour]
-        self.process = Process({
+        self.config = {
             "listen": "127.0.0.1:0", "discovery": "127.0.0.1:%d" % self.agent.getsockname()[1], "seed": "5",
             "limits": {"memory_mb": 64, "sockets": 400} | (limits or {}),
             "known": {"index": 1, "snapshot": True, "endpoints": entries if known else []},
@@ -169,7 +171,8 @@
                 "family-info": {"report-x0": "load over what it can do", "tells-delay": True,
                                 "message-aim-ns": [100 * MS]},
                 "permissions": {"probes": True, "max-hand-offs": 3, "connect-timeout-ns": 200 * MS,
-                                "keepalive-ns": 5000 * MS}} | settings}, lambda: self.now, VirtualPoll(self))
+                                "keepalive-ns": 5000 * MS}} | settings}
+        self.process = Process(self.config, lambda: self.now, VirtualPoll(self))
         self.limits, self.counters = self.process.limits, self.process.counters
         self.process.printer.say = lambda text, always=False: self.say(f"log: {text}")
         self.process.start()
@@ -179,6 +182,18 @@
             self.spawn(self._accept, listener, self._server, name)
         self.spawn(self._accept, self.agent, self._discovery, "")
 
+    def move_discovery(self) -> None:
+        """Discovery is at a new address, which the next reload tells."""
+        self.agent = self._listener()
+        self.agents += 1
+        self.spawn(self._accept, self.agent, self._discovery, f" at {self.agents}")
+        self.config["discovery"] = "127.0.0.1:%d" % self.agent.getsockname()[1]
+
+    def reload(self, path: Path, **changes) -> None:
+        path.write_text(json.dumps(self.config | changes))
+        os.environ["BALANCER_CONFIG"] = str(path)
+        self.spawn(self.process.reload)
+
     def say(self, text: str) -> None:
         self.lines.append(f"{(self.now - self.START) // MS:>6} {text}")
 
@@ -258,11 +273,11 @@
             self.say(f"        {name} {'reset' if stream.broken else 'ended'}")
             stream.close()
 
-    def _discovery(self, stream: Stream, _) -> None:
+    def _discovery(self, stream: Stream, name: str) -> None:
         for line in self.lines_of(stream):
             if not line.startswith("GET"):
                 continue
-            self.told.append(((self.now - self.START) // MS, line.split()[1]))
+            self.told.append(((self.now - self.START) // MS, line.split()[1] + name))
             content = {"index": self.index, "snapshot": True,
                        "endpoints": [self.entry(name) for name in self.behaviour]}
             if "wait" in line:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -186,6 +186,46 @@
     assert {line.split()[-1] for line in wire.lines if "c2 < UP" in line} == {"s2"}
 
 
+def test_a_new_configuration_moves_the_watch_at_once_and_a_bad_one_changes_nothing(tmp_path):
+    # Guards against an end on SIGHUP, and against a watch that waits on at the old address.
+    wire = Wire("up", "up")
+    wire.client("c1", OPEN, 2000, "one\r\n", 5000, "two\r\n")
+    wire.run(1500)
+    for number in range(3):  # also twice at once, and amid the first call there
+        wire.move_discovery()
+        wire.reload(tmp_path / "config")
+        wire.reload(tmp_path / "config")
+        wire.run(40 * number)
+    wire.run(500)
+    for change in ({"discovery": "nowhere"}, {"limits": {"sockets": 5}}, {"settings": {"workloads": 3}},
+                   {"settings": wire.config["settings"] | {"family-info": 7}}, {"known": None}):
+        wire.reload(tmp_path / "config", **change)
+        wire.run(300)
+    wire.change(wire.entry("s1", "leaving"))
+    wire.run(500)
+    wire.client("c2", OPEN)
+    wire.run(4000)
+    wire.say(f"calls {wire.told}")
+    wire.check("reload")
+    assert wire.counters["configurations taken"] == 6 and wire.counters["configurations refused"] == 5
+    assert not wire.counters["exceptions"]
+
+
+def test_new_limits_and_a_new_address_are_taken_and_clients_stay(tmp_path):
+    wire = Wire("up")
+    for number in range(20):
+        wire.client(f"c{number}", 100, OPEN, 2500, "still here\r\n")
+    wire.run(1000)
+    first = wire.process.port
+    wire.client("late", 1000, OPEN)  # connects to the old address before it is given up
+    wire.reload(tmp_path / "config", listen="127.0.0.2:0", limits={"memory_mb": 64, "sockets": 60})
+    wire.run(500)
+    assert wire.process.port != first and wire.process.relay._limits.clients < 20
+    wire.run(3000)
+    assert len([line for line in wire.lines if "echo still here" in line]) == 20
+    assert [line.split()[-1] for line in wire.lines if "late <" in line] == ["BUSY"]
+
+
 def test_probes_use_one_connection_again_and_outlive_an_idle_end_and_garbage():
     seen = []
 
@@ -396,6 +436,8 @@
 def test_signals_print_the_counters_and_end_it(tmp_path):
     def signals(process):
         assert process.stderr.readline().startswith("corklift: discovery: Gone")
+        for _ in range(3):
+            process.send_signal(signal.SIGHUP)
         process.send_signal(signal.SIGUSR1)
         line = process.stderr.readline()
         while "counters" not in line:
