Bad clients get ERR at the door; names in use, several lines at once reach no server

A trace of first lines (taken out again): OPEN lines bearing the name of an open connection, each answered ERR by up to six servers, so that each bad client failed every server twice in a row (relay._admit knew no names, Health counted them). Ruled out: what can't be read never left the door. Also, by reading: whoever was turned away held the door for 0.7 s (_finish), a silent client for 5 s, PINGs by hundreds for ever; now ERR, 0.1 s, 2 s, ERR.

--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -42,7 +42,9 @@
     line: int = 4096  # bytes of a line, its end included
     ring: int = 8192  # bytes of a ring buffer; two lines at least
     body: int = 4 << 20  # bytes of an answer of discovery
-    first_line_time: int = 5 * SECOND  # from a client's connect, or its last PING, to the end of its line
+    first_line_time: int = 2 * SECOND  # from a client's connect, or its first PONG, to the end of its line
+    turned_away_time: int = 100 * MS  # for a bad client's own end, after its answer
+    turned_away_bytes: int = 1 << 16  # that are still taken in from it meanwhile
     answer_margin: int = 25 * MS  # before a client's time limit, for its answer to be on its way
     longest_wait: int = 3600 * SECOND  # a client that says it waits longer than that is not believed
     standing_time: int = 35 * SECOND  # to bring up a connection that stood before the start
--- a/corklift/net/parsers.py
+++ b/corklift/net/parsers.py
@@ -15,7 +15,7 @@
 from corklift.interface import Status
 
 PING, PONG, STATS = b"PING\r\n", b"PONG\r\n", b"STATS\r\n"
-MOVE, FAILED, BUSY = b"MOVE\r\n", b"FAILED\r\n", b"BUSY\r\n"
+MOVE, FAILED, BUSY, ERR = b"MOVE\r\n", b"FAILED\r\n", b"BUSY\r\n", b"ERR\r\n"
 STATUSES = {"active": Status.READY, "leaving": Status.DRAINING, "left": Status.GONE}
 _OPENING = re.compile(rb"OPEN ([!-~]+) ([!-~]+) ([!-~]+)\r\n", re.ASCII)
 _NAME = re.compile(r"[a-z_][a-z0-9_]*")
@@ -43,6 +43,7 @@
     """A client's first line."""
 
     line: bytes
+    name: str  # of this connection, new with each
     workload: str
     wait: int | None  # how long the client waits, ns
     subject: str
@@ -72,7 +73,7 @@
     wait = values.get("d")
     if wait is not None and not (wait.isdecimal() and len(wait) <= 12):
         raise Malformed("absurd time to wait")
-    return Opening(line, values["c"], None if wait is None else int(wait) * 1_000_000, found[2].decode("ascii"),
+    return Opening(line, found[1].decode("ascii"), values["c"], None if wait is None else int(wait) * 1_000_000, found[2].decode("ascii"),
                    values.get("g", ""), values.get("again") == "1", values.get("at", ""),
                    _number(values["h"]) if "h" in values else None)
 
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -14,7 +14,7 @@
 from corklift.interface import Outcome
 from corklift.net.facade import Facade, Place, Refusal, Ticket
 from corklift.net.limits import MS, Counters, Limits
-from corklift.net.parsers import (BUSY, FAILED, MOVE, PING, PONG, Malformed, Opening, busy, figure, load_report,
+from corklift.net.parsers import (BUSY, ERR, FAILED, MOVE, PING, PONG, Malformed, Opening, busy, figure, load_report,
                                   opening, server_line)
 from corklift.net.scheduler import BAD, ENDED, READ, WRITE, Scheduler, Task
 from corklift.net.stream import OverLong, Stream
@@ -46,7 +46,7 @@
         self.ready = False  # PING is answered
         self._waiting: dict[Stream, Task] = {}  # clients not placed, oldest first
         self._unwanted: set[Stream] = set()  # those among them that must make room
-        self._held = 0  # clients that are placed or being placed
+        self._held: set[str] = set()  # names of the clients that are placed or being placed
         self._open: dict[int, Ticket] = {}
         self._turning_away = False
 
@@ -122,7 +122,7 @@
                 self._admit(client, first)
         except (Malformed, OverLong) as problem:
             self._counters[f"bad lines of clients ({str(problem) or 'over-long'})"] += 1
-            self._finish(client, FAILED)
+            self._turn_away(client)
         finally:
             self._waiting.pop(client, None)
             self._unwanted.discard(client)
@@ -130,14 +130,19 @@
 
     def _first_line(self, client: Stream) -> Opening | None:
         until = self._now() + self._limits.first_line_time
+        ponged = False
         while True:
             client.receive()
             line = client.take_line()
+            if line is not None and len(client.inbox):
+                # A client waits for each answer. Guards against hundreds of commands at once.
+                raise Malformed("more than one line at once")
             if line == PING:
                 self._counters["pings"] += 1
                 if not self._pong(client):
                     return None
-                until = self._now() + self._limits.first_line_time
+                if not ponged:
+                    ponged, until = True, self._now() + self._limits.first_line_time
                 self._scheduler.wait({}, self._now())  # a flood of these must not keep others waiting
             elif line is not None:
                 return opening(line)
@@ -163,23 +168,27 @@
     def _admit(self, client: Stream, first: Opening) -> None:
         if self._facade.workload(first.workload) is None:
             raise Malformed("unknown workload")
+        if first.name in self._held:
+            # Guards against a client that takes another's name: servers turn that down, and it would count
+            # against them and the one who bears it.
+            raise Malformed("name in use")
         if first.stands_at:
             self._counters["standing connections in"] += 1
         else:
             self._counters["logins in"] += 1
-        if self._held >= self._limits.clients or (self._turning_away and not first.stands_at):
+        if len(self._held) >= self._limits.clients or (self._turning_away and not first.stands_at):
             self._counters["logins bounced without room"] += 1
-            self._finish(client, BUSY)
+            self._turn_away(client, BUSY)
             return
         self._waiting.pop(client, None)
-        self._held += 1
+        self._held.add(first.name)
         try:
             if first.stands_at:
                 self._stand(client, first)
             else:
                 self._place(client, first)
         finally:
-            self._held -= 1
+            self._held.discard(first.name)
 
     def _place(self, client: Stream, first: Opening) -> None:
         if first.wait is None or not self._limits.answer_margin < first.wait <= self._limits.longest_wait:
@@ -203,6 +212,9 @@
             self._counters["logins bounced" if decided.harmless else "logins terminated"] += 1
         except ClientGone:
             self._counters["logins left by their client"] += 1
+        except Malformed:
+            answer = b""  # `_serve` turns it away
+            raise
         finally:
             self._facade.report_left(ticket)
             if answer:
@@ -285,10 +297,12 @@
                 self._scheduler.wait({}, self._now())  # a flood of lines must not keep others waiting
 
     def _await(self, client: Stream, server: Stream, mask: int, until: int) -> bool:
-        """Whether the server's stream is ready; the client's end ends the wait."""
-        got = self._scheduler.wait({server.fd: mask, client.fd: ENDED}, until)
-        if client.fd in got:
+        """Whether the server's stream is ready; the client's end ends the wait, and so does anything it says."""
+        got = self._scheduler.wait({server.fd: mask, client.fd: READ | ENDED}, until)
+        if got.get(client.fd, 0) & (ENDED | BAD):
             raise ClientGone
+        if client.fd in got:
+            raise Malformed("a line before its answer")
         return server.fd in got
 
     # One connection
@@ -404,6 +418,26 @@
             self._scheduler.wait({client.fd: mask}, until)
         client.close()
 
+    def _turn_away(self, client: Stream, line: bytes = ERR) -> None:
+        """As `_finish`, for a client that is not taken in: little is read on from it, and it soon makes room.
+
+        Guards against bad clients that hold the door by staying, or keep it busy with what they still send.
+        """
+        until = self._now() + self._limits.turned_away_time
+        left = self._limits.turned_away_bytes
+        if not client.closed and client.outbox.room >= len(line):
+            client.write(line)
+        if not len(client.outbox):
+            client.end_sending()
+        while not client.broken and not client.closed and client not in self._unwanted:
+            client.inbox.drop(len(client.inbox))
+            left -= client.receive()
+            if client.ended or left <= 0 or self._now() >= until:
+                break
+            if not len(client.inbox):
+                self._scheduler.wait({client.fd: READ}, until)
+        client.close()
+
     # The end of this process
 
     def stop(self) -> None:
