A connection's name is still known 3 s after its end, so that no bad client takes it up

Cause: relay._admit forgot a name with its connection's end, and the bad client came with it a moment later. Kept for 3 s, renewed by misuse, four times as many as clients at the most. Test: bad_clients, the steps after 'a name of late'; without it both reach s1.

--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -43,6 +43,7 @@
     ring: int = 8192  # bytes of a ring buffer; two lines at least
     body: int = 4 << 20  # bytes of an answer of discovery
     first_line_time: int = 2 * SECOND  # from a client's connect, or its first PONG, to the end of its line
+    name_time: int = 3 * SECOND  # for which a connection's name is still known after its end, or its last misuse
     turned_away_time: int = 100 * MS  # for a bad client's own end, after its answer
     turned_away_bytes: int = 1 << 16  # that are still taken in from it meanwhile
     answer_margin: int = 25 * MS  # before a client's time limit, for its answer to be on its way
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -47,6 +47,7 @@
         self._waiting: dict[Stream, Task] = {}  # clients not placed, oldest first
         self._unwanted: set[Stream] = set()  # those among them that must make room
         self._held: set[str] = set()  # names of the clients that are placed or being placed
+        self._past: dict[str, int] = {}  # names of those that have ended, oldest first, and until when they are known
         self._open: dict[int, Ticket] = {}
         self._turning_away = False
 
@@ -168,9 +169,11 @@
     def _admit(self, client: Stream, first: Opening) -> None:
         if self._facade.workload(first.workload) is None:
             raise Malformed("unknown workload")
-        if first.name in self._held:
+        if first.name in self._held or self._past.get(first.name, 0) > self._now():
             # Guards against a client that takes another's name: servers turn that down, and it would count
-            # against them and the one who bears it.
+            # against them and the one who bears it. Names are new with every connection.
+            if first.name in self._past:
+                self._know(first.name)
             raise Malformed("name in use")
         if first.stands_at:
             self._counters["standing connections in"] += 1
@@ -189,6 +192,16 @@
                 self._place(client, first)
         finally:
             self._held.discard(first.name)
+            self._know(first.name)
+
+    def _know(self, name: str) -> None:
+        """Keeps the name of one that has ended in mind, for a while and among so many at the most."""
+        self._past.pop(name, None)
+        self._past[name] = self._now() + self._limits.name_time
+        oldest = next(iter(self._past))
+        while len(self._past) > 4 * self._limits.clients or self._past[oldest] <= self._now():
+            del self._past[oldest]
+            oldest = next(iter(self._past))
 
     def _place(self, client: Stream, first: Opening) -> None:
         if first.wait is None or not self._limits.answer_margin < first.wait <= self._limits.longest_wait:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -96,6 +96,12 @@
     wire.client("early", OPEN, 50, "too soon\r\n")
     wire.run(1000)
     wire.behaviour["s1"] = "up"
+    wire.say("-- a name of late")
+    wire.client("again", "OPEN early 9 c=plain,d=2000\r\n")
+    wire.client("anew", 10, "OPEN early 9 c=plain,d=2000\r\n")
+    wire.run(6000)
+    wire.client("last", "OPEN early 9 c=plain,d=2000\r\n", 10, None)
+    wire.run(1000)
     wire.lines = [line for line in wire.lines if "PONG" not in line]
     wire.say(wire.counters.text())
     wire.check("bad_clients")
