Clients of a restarting balancer are counted once; a fresh balancer knows its rate of logins

Each decision was printed with its beliefs: at a fleet mean of 0.5 the other balancer bounced, since Counts.projected counts each placement for both balancers, and old reports still hold those clients; the restarted one went to probing some (Means.rate over 30 s after 1 s of life) and put 14 on a report of 2. Ruled out: the door (no BUSY without room), drains, lost answers, the bench's lateness. Histogram, a type, moved out of the module. Also: a server's garbage after UP moves its client, probe connections make way, discovery's answers are bounded by memory.

--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -41,7 +41,7 @@
     stop_time: int  # after SIGTERM the process ends, whatever is left
     line: int = 4096  # bytes of a line, its end included
     ring: int = 8192  # bytes of a ring buffer; two lines at least
-    body: int = 4 << 20  # bytes of an answer of discovery
+    body: int = 4 << 20  # bytes of an answer of discovery; as it is read it takes some ten times as much
     first_line_time: int = 2 * SECOND  # from a client's connect, or its first PONG, to the end of its line
     name_time: int = 3 * SECOND  # for which a connection's name is still known after its end, or its last misuse
     turned_away_time: int = 100 * MS  # for a bad client's own end, after its answer
@@ -90,7 +90,8 @@
             raise BadConfig(f"config: limits.{'sockets' if left < 2 else 'memory_mb'} leaves no room for a client")
         # The kill comes no sooner than the longest time limit, of 3 s at most, and 0.7 s more after SIGTERM.
         return cls(clients=clients, waiting=waiting, probes=probes, connect_time=connect_time,
-                   stop_time=min(time_limit, 3 * SECOND) + 400 * MS)
+                   stop_time=min(time_limit, 3 * SECOND) + 400 * MS,
+                   body=min(cls.body, int(memory * (1 << 20)) // 64))
 
 
 class Counters(Counter[str]):
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -343,7 +343,13 @@
         doubt_at = 0  # when that is to be told
         end_by = 0  # when the end of one side has been passed on for long enough
         while True:
-            for line in self._carry(server, client):
+            try:
+                lines = self._carry(server, client)
+            except OverLong:
+                # Guards against a server that falls into garbage: its client is told to come again.
+                self._counters["bad lines of servers (over-long)"] += 1
+                return Outcome.ERROR, MOVE
+            for line in lines:
                 if line.startswith(b"LOAD "):
                     self._take_told(ticket, line)
                     continue
--- a/corklift/net/upkeep.py
+++ b/corklift/net/upkeep.py
@@ -79,13 +79,21 @@
             if place.server in self._tasks:
                 self._asked[place.server].append(place)
                 self._scheduler.wake(self._tasks[place.server])
-            elif len(self._tasks) >= self._limits.probes:
+            elif len(self._tasks) >= self._limits.probes and not self._make_way():
                 self._counters["probes without a descriptor"] += 1
                 self._facade.probed(place.server, Outcome.NOT_SENT, 0, None)
             else:
                 self._asked[place.server] = deque([place])
                 self._tasks[place.server] = self._scheduler.spawn(self._probe_one, place.server)
 
+    def _make_way(self) -> bool:
+        """Ends the kept connection that has idled longest. Guards against servers never probed for want of one."""
+        for server, asked in self._asked.items():
+            if not asked and self._tasks[server].problem is None:
+                self._scheduler.interrupt(self._tasks[server], Gone())
+                return True
+        return False
+
     def _probe_one(self, server: int) -> None:
         asked = self._asked[server]
         try:
@@ -102,6 +110,8 @@
                     self._close(server)  # it has ended, spoken unasked, or idled long
                 elif self._scheduler.now() >= until:
                     return
+        except Gone:
+            self._counters["probe connections that made way"] += 1
         finally:
             self._close(server)
             del self._tasks[server], self._asked[server]
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -12,9 +12,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from math import log
 from random import Random
 
+from corklift.histogram import Histogram
 from corklift.interface import (ColdRule, Effect, Host, Listed, Login, NoteKind, Outcome, Reach, Report,
                                 Scope, Status, Workload)
 
@@ -51,26 +51,6 @@
 GROUPS_LIKELY = 40  # of unknown size; what is seen of a group's share is drawn towards that of one of them
 
 
-class Histogram:
-    """A few coarse bins on a ratio scale, halved from time to time so that old samples fade."""
-
-    RATIO, BINS, HALVE_AT = 1.25, 40, 12.0
-
-    def __init__(self) -> None:
-        self._bins: dict[int, float] = {}
-        self._total = 0.0
-        self.mean: float | None = None
-
-    def add(self, value: float) -> None:
-        index = min(self.BINS, max(0, int(log(max(value, 1.0), self.RATIO))))
-        self._bins[index] = self._bins.get(index, 0.0) + 1.0
-        self._total += 1.0
-        if self._total >= self.HALVE_AT:
-            self._bins = {at: held / 2 for at, held in self._bins.items() if held > 0.1}
-            self._total = sum(self._bins.values())
-        self.mean = sum(held * self.RATIO ** (at + 0.5) for at, held in self._bins.items()) / self._total
-
-
 class Server:
     """What this balancer knows of one server."""
 
@@ -82,8 +62,8 @@
         self.count: float | None = None
         self.pressure: float | None = None
         self.read_at = 0  # when the last report came; 0: none yet
-        self.placed: dict[int, tuple[int, float]] = {}  # own placements a report may not hold yet
-        self.since = 0.0  # their load
+        self.placed: dict[int, tuple[int, float, float]] = {}  # own placements a report may not hold yet
+        self.since = self.alone = 0.0  # their load, and the part of it that no other balancer places alike
         self.open: dict[int, Held] = {}  # own connections
         self.groups: dict[int, int] = {}  # how many of them belong to each group
         self.capacity = Histogram()  # connections that would fill it
@@ -119,6 +99,7 @@
         self.order: list[Server] = []  # of servers, where it has no group
         self.able: list[Server] = []  # the first of them that may be sent to
         self.turn, self.awaits = 0, 0  # which asking it was, and the answers it waits for
+        self.from_elsewhere = False  # it comes back from a connection that another balancer held
         self.turns: dict[int, float] = {}  # its chance to be sent to each cold server, drawn once
 
 
@@ -188,7 +169,7 @@
         server.pressure = report.busy if report.pressure is None else report.pressure
         server.read_at = now
         horizon = now - REPORT_LAG
-        for login in [login for login, (at, _) in server.placed.items() if at <= horizon]:
+        for login in [login for login, (at, _, _) in server.placed.items() if at <= horizon]:
             self.unplaced(server, login)
         if server.count and server.pressure and server.count >= 4 and server.pressure > 0.04:
             size = server.count / server.pressure
@@ -242,16 +223,19 @@
             self.unplaced(server, login)
 
     def placed(self, now: int, server: Server, held: Held) -> None:
-        server.placed[held.login.login] = (now, held.load)
+        alone = held.load if held.from_elsewhere else 0.0
+        server.placed[held.login.login] = (now, held.load, alone)
         server.since += held.load
-        self._since += held.load
+        server.alone += alone
+        self._since += held.load - alone
         if self.some_only:
             self._recent.append((now, server, held.login.login))
 
     def unplaced(self, server: Server, login: int) -> None:
-        _, load = server.placed.pop(login, (0, 0.0))
+        _, load, alone = server.placed.pop(login, (0, 0.0, 0.0))
         server.since -= load
-        self._since -= load
+        server.alone -= alone
+        self._since -= load - alone
 
     def projected(self, server: Server) -> float | None:
         """Pressure with placements since: own ones, and those taken to be made by the other balancers.
@@ -269,7 +253,9 @@
         alike = min(self._balancers, ALIKE)
         # A report that was asked for is no fresher, and others of many balancers have placed by it too.
         met = alike - 1 if self.some_only else 0
-        return server.pressure + (met + alike * server.since + (self._balancers - alike) * spread) / size
+        # Guards against refusals when another balancer restarts: its clients come here alone, and only once.
+        own = alike * server.since - (alike - 1) * server.alone
+        return server.pressure + (met + own + (self._balancers - alike) * spread) / size
 
     def per_power(self, server: Server, mean: float) -> float:
         """Connections of like cost a unit of power: the design's count, for unlike servers and logins."""
@@ -331,8 +317,14 @@
     def __init__(self, now: int, fee: float, balancers: int) -> None:
         self._fee, self._balancers = fee, balancers
         self._seen, self._at = 0.0, now  # logins, halved every RATE_TIME
+        self._began: int = now  # how long they are counted; longer, if connections stood before
         self._last = [-RATE_TIME, -RATE_TIME]  # when the last two came
 
+    def stood(self, now: int) -> None:
+        """A connection of before the start: a login of the time before, as long ago as any counts."""
+        self._began = now - 10 * RATE_TIME
+        self.login_seen(now, False)
+
     def login_seen(self, now: int, came_back: bool) -> None:
         """Clients that come back bring no importance of their own, however many they are."""
         if not came_back:
@@ -344,11 +336,15 @@
 
     def rate(self, now: int) -> float:
         """Own logins a second; connections held at the start count as logins of the time before."""
-        return 0.69 * self._fade(now) * SECOND / RATE_TIME
+        # Guards against a balancer that has just started and takes the rate of logins for low.
+        counted = max(AGE_LIMIT, now - self._began)
+        return 0.69 * self._fade(now) * SECOND / (RATE_TIME * (1 - 0.5 ** (counted / RATE_TIME)))
 
-    def settled(self) -> bool:
-        """Whether a login has come, or none matters: before that their rate is unknown, not nil."""
-        return self._last[1] > 0 or not self._fee
+    def settled(self, now: int) -> bool:
+        """Whether a login has come, or none matters: before that their rate is unknown, not nil.
+
+        Clients that come back from another balancer tell nothing of it, unless for long no other came."""
+        return self._seen > 0 or not self._fee or now - self._began > 2 * AGE_LIMIT and self._last[1] > 0
 
     def many(self, now: int, span: int) -> bool:
         """Whether more than one login came within the span."""
@@ -357,11 +353,10 @@
     def some_only(self, now: int, servers: int) -> bool:
         """Whether probing all, as seldom as the design allows, costs too much of what logins are worth.
 
-        It does, too, where more balancers than servers share them: each knows little of counts and groups.
-        """
+        It does, too, where more balancers than servers share them: each knows little of counts and groups."""
         cost = servers * self._fee * SECOND / AGE_LIMIT
         return cost > 0 and (self._balancers > servers
-                             or (self.settled() and cost > DEAR_PROBING * self.rate(now)))
+                             or (self.settled(now) and cost > DEAR_PROBING * self.rate(now)))
 
     def probed(self, now: int, servers: int) -> int:
         """How many servers to probe in an age limit, if not all."""
@@ -481,8 +476,7 @@
         """The first servers for a login where only some are probed: in its group's order.
 
         The order comes from the ids alone, so hundreds of balancers that never speak gather a group alike,
-        each with few of its connections. A login without a group has an order of its own, at random.
-        """
+        each with few of its connections. A login without a group has an order of its own, at random."""
         if self._orders_of != self._roster.version:
             self._orders_of = self._roster.version
             self._orders.clear()
@@ -524,8 +518,7 @@
     def _homes_needed(self, group: int) -> int:
         """How many servers a group's load fills, by what this balancer has seen of it.
 
-        One of hundreds sees little, so the share it sees is drawn towards that of a group among a few.
-        """
+        One of hundreds sees little, so the share it sees is drawn towards that of a group among a few."""
         share = (self._seen.get(group, 0.0) + 1.0) / (self._seen_total + GROUPS_LIKELY)
         filled = min(1.0, max(0.5, self._counts.mean_pressure / ROOM))
         return 1 + int(share * filled * GROUP_SPREAD * len(self._roster.ready))
@@ -536,8 +529,7 @@
 
         A group's logins are drawn among its homes with room, then among its homes not full. Then comes the
         next server of its order that has room for the group's own cost too. Guards against groups that
-        scatter until every server pays for every group.
-        """
+        scatter until every server pays for every group."""
         self._counts.expire(now)
         group = held.login.group if self._grouped else 0
         number = self._homes_needed(group) if group else ASK_FIRST
@@ -586,8 +578,7 @@
 
         Then the group's own order: it comes from the ids alone, so balancers that never speak choose alike.
         A server that does not hold the group yet needs room for the group's own cost too. Guards against
-        groups that scatter over a full fleet, where every server comes to pay for every group.
-        """
+        groups that scatter over a full fleet, where every server comes to pay for every group."""
         homes = self._homes_of(group)
         chosen = [s for s in roomy if s in homes]
         if not chosen:
@@ -757,8 +748,7 @@
     """Which servers are probed and when; and which logins wait for an answer."""
 
     def __init__(self, host: Host, rng: Random, roster: Roster, counts: Counts, means: Means,
-                 cold: ColdBudget, after: Callable[[int, Callable[[int], None]], None],
-                 allowed: bool) -> None:
+                 cold: ColdBudget, after: Callable[[int, Callable[[int], None]], None], allowed: bool):
         self._host, self._rng, self._after, self._allowed = host, rng, after, allowed
         self._roster, self._counts, self._means, self._cold = roster, counts, means, cold
         self._weighed: bool | None = None  # whether only some servers are probed
@@ -785,7 +775,7 @@
                 self._probe_all(ready)
         if some_only:
             self._exchange(now)
-        wait = AGE_LIMIT if self._means.settled() or some_only else PROBE_PERIOD // 10
+        wait = AGE_LIMIT if self._means.settled(now) or some_only else PROBE_PERIOD // 10
         self._after(int(wait * self._rng.uniform(0.9, 1.1)), self._weigh)
 
     def _probe_all(self, servers: list[Server]) -> None:
@@ -864,6 +854,7 @@
         self._remembers = memory > 0
         self._where: dict[int, int] = {}  # the holder of a client's connection, where packets pass
         self._held: dict[int, Held] = {}
+        self._cut: list[int] = []  # when own connections were cut off or moved, whose clients come back
         self._cost_sum, self._cost_seen = 0.0, 0
         self._timers: dict[int, Callable[[int], None]] = {}
         self._next_mark = 1
@@ -874,9 +865,9 @@
         self._cold = ColdBudget(cold, balancers, self._counts, self._means)
         most = max(workload.importance for workload in workloads)
         reserves = [RESERVE * (1 - w.importance / most) if per_work and most else 0.0 for w in workloads]
+        shortest = min((w.message_limit for w in workloads if w.message_limit), default=0)
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
-                          crossing_price,
-                          min((w.message_limit for w in workloads if w.message_limit), default=0), reserves)
+                          crossing_price, shortest, reserves)
         self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
         self._moves = Moves(host, rng, self._counts, self._draw.group_load)
         self._probing = Probing(host, rng, self._roster, self._counts, self._means, self._cold, self._after,
@@ -890,11 +881,15 @@
         self._held[login.login] = held
         self._means.login_seen(now, login.came_back)
         self._draw.saw_group(login.group)
+        # Those who come back beyond the own connections cut or moved lately were another balancer's.
+        cut = [at for at in self._cut if now - at < AGE_LIMIT]
+        held.from_elsewhere = login.came_back and not cut
+        self._cut = cut[login.came_back:]
         self._place(now, held)
 
     def connection_carried(self, now: int, login: Login, server: int) -> None:
         held = Held(login, self._like(login.cost))
-        self._means.login_seen(now, False)
+        self._means.stood(now)
         self._draw.saw_group(login.group)
         attempt = Attempt(server, now)
         held.attempts.append(attempt)
@@ -940,6 +935,8 @@
         if attempt < len(held.attempts):
             held.attempts[attempt].outcome = outcome
         if closed:
+            if outcome is not Outcome.FULFILLED:
+                self._cut.append(now)
             self._forget(held)
             return
         if known is not None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -342,7 +342,7 @@
 
 
 def test_a_list_that_grows_tenfold_is_used_and_a_dropped_login_waits_no_more():
-    scene = many(3, balancers=2)
+    scene = many(3, balancers=40)
     scene.listed(*range(1, 31))
     scene.auto = {server: Report(1, 0.1) for server in range(1, 31)}
     scene.run(4000)
@@ -381,3 +381,36 @@
     scene.listed(1, scope=Scope.DELTA, status=Status.DRAINING)
     scene.run(2000)
     assert scene.sent == [(1, 2)]
+
+
+def test_a_balancer_that_has_just_started_does_not_take_logins_for_rare():
+    # Guards against a restart amid clients that come back, after which probing all seems too dear.
+    scene = Scene(probe_price=0.0023)
+    scene.listed(1, 2, 3, 4, 5)
+    scene.auto = {server: Report(5, 0.2) for server in range(1, 6)}
+    for number in range(1, 30):
+        scene.login(number, came_back=True)
+        scene.run(100)
+    scene.login(30)
+    scene.run(2500)
+    assert not [line for line in scene.lines if "probing some" in line]
+    scene.run(40_000)  # logins are rare indeed: now it is too dear
+    assert [line for line in scene.lines if "probing some" in line]
+
+
+@pytest.mark.parametrize("own", [False, True])
+def test_clients_that_another_balancer_sent_away_are_counted_once(own):
+    # Guards against refusals while another balancer restarts: nobody else places its clients, and they are no
+    # further load. Clients whose connections were cut here are taken to come back at other balancers alike.
+    scene = ready(20, 20, 20)
+    scene.auto = {server: Report(20, 0.5) for server in (1, 2, 3)}
+    scene.run(3000)
+    if own:
+        for number in range(100, 120):
+            scene.balancer.connection_carried(scene.now, Login(number, 0, 0, 0, 0, None, 0), 1)
+            scene.balancer.hand_off_ended(scene.now, number, True, 1, Outcome.BROKEN, 0, 0, None)
+    scene.lines.clear()
+    for number in range(1, 31):
+        scene.login(number, came_back=True)
+    bounced = [line for line in scene.lines if "bounce" in line]
+    assert len(bounced) in (range(5, 20) if own else [0])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -145,6 +145,11 @@
     wire.change(wire.entry("s1", "leaving"))
     wire.run(2000)
     wire.check("move_between_lines")
+    # A server that falls into garbage: its client is told to come again.
+    wire = Wire(lambda wire, stream, line: stream.write(b"UP s1\r\n" if line.startswith("OPEN") else b"x" * 5000))
+    wire.client("c1", OPEN, 500, "x\r\n")
+    wire.run(1500)
+    assert [line[7:] for line in wire.lines if " c1 <" in line] == ["c1 < UP s1", "c1 < MOVE"]
     # A server that accepts and stays silent: its connections, and the probes they cause, show it within 7 s.
     wire = Wire("up")
     wire.client("c1", OPEN, 1000, "one\r\n")
@@ -284,6 +289,17 @@
     assert wire.counters["probe connections"] <= len(seen) + 2
 
 
+def test_more_servers_than_connections_for_probes_are_all_probed():
+    wire, seen = Wire(*["up"] * 12, limits={"sockets": 64}), set()
+    assert wire.limits.probes == 8
+    real = wire.process.facade.probed
+    wire.process.facade.probed = lambda server, outcome, *rest: (
+        outcome is Outcome.FULFILLED and seen.add(server), real(server, outcome, *rest))
+    wire.run(4000)
+    assert len(seen) == 12 and wire.counters["probes without a descriptor"] == wire.counters["exceptions"] == 0
+    assert len(wire.process.probes._tasks) <= wire.limits.probes + 1
+
+
 def test_an_exception_ends_its_connection_alone():
     wire = Wire("up")
     wire.client("c1", OPEN, 1000, "x\r\n")
