At a restart connections are moved evenly over all the time there is

The logs: 38 to 88 clients moved in 0.8 to 1.5 s, all to the one balancer left, and the process then idle until its successor starts 3.5 s after SIGTERM (Relay.stop moved at least one in 20 ms, over half of the time).

--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -63,8 +63,9 @@
 
     @property
     def stop_moving(self) -> int:
-        """Over which connections are moved after SIGTERM."""
-        return (self.stop_time - self.stop_accepting) // 2
+        """Over which connections are moved after SIGTERM: what is left but for the last to end."""
+        left = self.stop_time - self.stop_accepting
+        return max(left // 2, left - 500 * MS)
 
     @property
     def doubt_time(self) -> int:
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -467,12 +467,14 @@
         began = self._now()
         self._scheduler.sleep(self._limits.stop_accepting)
         self._turning_away = True
-        moving = self._limits.stop_moving
+        moving, most = self._limits.stop_moving, 0
         while self._now() < began + self._limits.stop_time and (self._held or self._waiting):
             still = sorted(number for number, ticket in self._open.items() if not ticket.to_move)
-            left = max(1, began + self._limits.stop_accepting + moving - self._now())
-            number = len(still) if left < 40 * MS else 1 + len(still) * 20 * MS // left
-            for ticket in [self._open[at] for at in still[:number]]:
+            left = max(0, began + self._limits.stop_accepting + moving - self._now())
+            # Evenly over all the time there is. Guards against a flood at those who take them in.
+            most = max(most, len(still))
+            number = len(still) - most * left // moving
+            for ticket in [self._open[at] for at in still[:max(0, number)]]:
                 ticket.to_move = True
                 self._scheduler.wake(ticket.task)
             self._scheduler.sleep(20 * MS)
