SIGHUP takes new settings too; open connections keep their workload and zone numbers

Until now discovery, limits and the listening address alone were taken (Process.reload); workloads, permissions, rules and fees stood as at the start. The parts of the module take their settings by a method each, at the start and anew; what is known, held or timed stays. Numbers of workloads, zones and kinds stay with their names (Facade._take), so that open connections don't change theirs.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -142,10 +142,12 @@
             return
         self._configuration, self.limits = new, new.limits
         self.printer.limits = new.limits
+        self.facade.settings_changed(new.arguments, new.report_names, new.told, new.localities, new.kinds)
         self.relay.reconfigure(new.limits)
         self.probes.reconfigure(new.limits, new.kept_for)
         self.watch.follow(new.discovery, new.limits)
-        changed = [name for name in new._fields if getattr(new, name) != getattr(old, name)]
+        changed = sorted({name if name in ("listen", "discovery", "seed", "known", "limits") else "settings"
+                          for name in new._fields if getattr(new, name) != getattr(old, name)})
         self.counters["configurations taken"] += 1
         self.printer.say(f"configuration read anew, changed: {' '.join(changed) or 'nothing'}", always=True)
 
--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -14,7 +14,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from corklift.interface import Listed, Login, NoteKind, Outcome, Report, Scope, Status
+from corklift.interface import Listed, Login, NoteKind, Outcome, Report, Scope, Status, Workload
 from corklift.net.limits import Counters
 from corklift.net.parsers import Listing, Opening, stable_id
 from corklift.net.scheduler import Scheduler, Task
@@ -57,14 +57,13 @@
                  report_names: dict[str, str], told: tuple[NoteKind, int] | None, localities: list[str],
                  kinds: list[str], settle_time: int, log: Callable[[str], None], counters: Counters) -> None:
         self._scheduler, self._log, self._counters = scheduler, log, counters
-        self._report_names, self._told = report_names, told
         self._settle_time = settle_time
         self._settled_at: int | None = None  # until then a report of nothing may be of before the start
-        self._zones = {name: at for at, name in enumerate(localities)}
-        self._kinds = {name: at for at, name in enumerate(kinds)}
-        self._workloads = {workload.name: at for at, workload in enumerate(arguments["workloads"])}
-        self._time_limits = [workload.time_limit for workload in arguments["workloads"]]
-        self._grouped = arguments["grouped"]
+        self._zones: dict[str, int] = {}
+        self._kinds: dict[str, int] = {}
+        self._workloads: dict[str, int] = {}  # those that logins may name
+        self._all_workloads: list[Workload] = []  # and those that connections of before a new configuration have
+        arguments = self._take(arguments, report_names, told, localities, kinds)
         self._tickets: dict[int, Ticket] = {}
         self._next_login = 1
         self._names: dict[int, str] = {}
@@ -77,13 +76,38 @@
         self._prober: Task | None = None
         self._balancer = Balancer(self, Random(seed), now=scheduler.now(), **arguments)
 
+    def settings_changed(self, arguments: dict[str, Any], report_names: dict[str, str],
+                         told: tuple[NoteKind, int] | None, localities: list[str], kinds: list[str]) -> None:
+        """A new configuration's settings; logins, connections, the list and all counts stay."""
+        self._balancer.settings_changed(self._scheduler.now(),
+                                        **self._take(arguments, report_names, told, localities, kinds))
+
+    def _take(self, arguments: dict[str, Any], report_names: dict[str, str], told: tuple[NoteKind, int] | None,
+              localities: list[str], kinds: list[str]) -> dict[str, Any]:
+        """Returns the arguments for the Balancer, with numbers that mean what they meant before.
+
+        Guards against open connections and listed servers that change their workload or zone as names move.
+        """
+        self._report_names, self._told, self._grouped = report_names, told, arguments["grouped"]
+        for known, names in ((self._zones, localities), (self._kinds, kinds)):
+            for name in names:
+                known.setdefault(name, len(known))
+        numbers = {workload.name: at for at, workload in enumerate(self._all_workloads)}
+        self._workloads = {}
+        for workload in arguments["workloads"]:
+            at = self._workloads[workload.name] = numbers.setdefault(workload.name, len(numbers))
+            self._all_workloads[at:at + 1] = [workload]
+        zone = arguments["zone"]
+        return arguments | {"workloads": list(self._all_workloads),
+                            "zone": self._zones[localities[zone]] if zone < len(localities) else zone}
+
     # What the relay calls
 
     def workload(self, name: str) -> int | None:
         return self._workloads.get(name)
 
     def time_limit(self, opening: Opening) -> int:
-        return self._time_limits[self._workloads[opening.workload]]
+        return self._all_workloads[self._workloads[opening.workload]].time_limit
 
     def pick(self, opening: Opening, time_limit_at: int) -> tuple[Ticket, Place | Refusal]:
         """A login has come; blocks until it is decided where it goes."""
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -13,10 +13,11 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
+from typing import Any
 
-from corklift.histogram import Histogram
 from corklift.interface import (ColdRule, Effect, Host, Listed, Login, NoteKind, Outcome, Reach, Report,
                                 Scope, Status, Workload)
+from corklift.records import Attempt, Held, Histogram
 
 SECOND = 1_000_000_000
 PROBE_PERIOD = SECOND  # the design's "about once a second"
@@ -80,29 +81,6 @@
         self.askers: list[tuple[Held, int]] = []  # logins that wait for its answer, and in which asking
 
 
-class Attempt:
-    def __init__(self, server: int, sent_at: int) -> None:
-        self.server, self.sent_at = server, sent_at
-        self.outcome: Outcome | None = None
-
-
-class Held:
-    """A login this balancer answers for, or the connection it became."""
-
-    def __init__(self, login: Login, load: float) -> None:
-        self.login, self.load = login, load
-        self.attempts: list[Attempt] = []
-        self.is_open = False
-        self.round = 0  # of asking servers before a hand-off
-        self.asked = 0  # rounds
-        self.some: list[Server] = []  # of its group's homes, asked first
-        self.order: list[Server] = []  # of servers, where it has no group
-        self.able: list[Server] = []  # the first of them that may be sent to
-        self.turn, self.awaits = 0, 0  # which asking it was, and the answers it waits for
-        self.from_elsewhere = False  # it comes back from a connection that another balancer held
-        self.turns: dict[int, float] = {}  # its chance to be sent to each cold server, drawn once
-
-
 class Roster:
     """The servers as the list tells of them."""
 
@@ -153,8 +131,8 @@
 class Counts:
     """Reported counts and pressures, their age, and each server's power."""
 
-    def __init__(self, roster: Roster, balancers: int, weight_varies: bool) -> None:
-        self._roster, self._balancers, self._weight_varies = roster, balancers, weight_varies
+    def __init__(self, roster: Roster) -> None:
+        self._roster = roster
         self._kinds: dict[int, Histogram] = {}
         self.typical = 1.0  # connections that fill a server of mean power
         self.mean_pressure = 0.0
@@ -164,6 +142,9 @@
         self.some_only = False  # only some servers are probed
         self._recent: list[tuple[int, Server, int]] = []  # own placements, oldest first
 
+    def take_settings(self, balancers: int, weight_varies: bool) -> None:
+        self._balancers, self._weight_varies = balancers, weight_varies
+
     def take(self, now: int, server: Server, report: Report) -> None:
         server.count = report.count
         server.pressure = report.busy if report.pressure is None else report.pressure
@@ -314,12 +295,14 @@
 class Means:
     """Whether this balancer can pay for probing every server, and how many it probes otherwise."""
 
-    def __init__(self, now: int, fee: float, balancers: int) -> None:
-        self._fee, self._balancers = fee, balancers
+    def __init__(self, now: int) -> None:
         self._seen, self._at = 0.0, now  # logins, halved every RATE_TIME
         self._began: int = now  # how long they are counted; longer, if connections stood before
         self._last = [-RATE_TIME, -RATE_TIME]  # when the last two came
 
+    def take_settings(self, fee: float, balancers: int) -> None:
+        self._fee, self._balancers = fee, balancers
+
     def stood(self, now: int) -> None:
         """A connection of before the start: a login of the time before, as long ago as any counts."""
         self._began = now - 10 * RATE_TIME
@@ -367,9 +350,11 @@
 class ColdBudget:
     """This balancer's part of what a server that just started may be sent."""
 
-    def __init__(self, rule: ColdRule, balancers: int, counts: Counts, means: Means) -> None:
-        self._rule, self._counts, self._means = rule, counts, means
-        self._share = COLD_CARE / balancers
+    def __init__(self, counts: Counts, means: Means) -> None:
+        self._counts, self._means = counts, means
+
+    def take_settings(self, rule: ColdRule, balancers: int) -> None:
+        self._rule, self._share = rule, COLD_CARE / balancers
 
     def is_cold(self, now: int, server: Server) -> bool:
         return bool(server.started_at) and now - server.started_at < self._rule.ramp
@@ -410,13 +395,8 @@
 class Draw:
     """The design's random draw, and the narrowing of who takes part in it."""
 
-    def __init__(self, rng: Random, roster: Roster, counts: Counts, health: Health, cold: ColdBudget,
-                 grouped: bool, zone: int, crossing_price: float, message_limit: int,
-                 reserves: list[float]) -> None:
-        self._reserves = reserves  # of each server, kept from the logins of each workload
-        self._zone, self._crossing_price, self._message_limit = zone, crossing_price, message_limit
-        self._rng, self._roster, self._counts = rng, roster, counts
-        self._health, self._cold, self._grouped = health, cold, grouped
+    def __init__(self, rng: Random, roster: Roster, counts: Counts, health: Health, cold: ColdBudget) -> None:
+        self._rng, self._roster, self._counts, self._health, self._cold = rng, roster, counts, health, cold
         self.group_load: dict[int, int] = {}  # own open connections of each group
         self.total_load = 0
         self._homes: dict[int, int] = {}  # where a group's last connection was opened
@@ -426,6 +406,11 @@
         self._seen: dict[int, float] = {}  # logins of each group, halved now and then
         self._seen_total = 0.0
 
+    def take_settings(self, grouped: bool, zone: int, crossing_price: float, message_limit: int,
+                      reserves: list[float]) -> None:
+        self._reserves, self._grouped = reserves, grouped  # of each server, kept from each workload's logins
+        self._zone, self._crossing_price, self._message_limit = zone, crossing_price, message_limit
+
     def _stays_near(self, login: Login) -> bool:
         """Whether it stays in its zone: crossings dear, room for groups held twice, no flood of returns."""
         return (self._crossing_price > DEAR_CROSSING and not login.came_back
@@ -632,9 +617,11 @@
 class HandOffs:
     """When a login may be sent again, for how long a hand-off may take, and which last answer is honest."""
 
-    def __init__(self, workloads: list[Workload], roster: Roster, max_hand_offs: int) -> None:
-        self._workloads, self._roster, self._max = workloads, roster, max_hand_offs
-        self._resends = RESEND_MOST
+    def __init__(self, roster: Roster) -> None:
+        self._roster, self._resends = roster, RESEND_MOST
+
+    def take_settings(self, workloads: list[Workload], max_hand_offs: int) -> None:
+        self._workloads, self._max = workloads, max_hand_offs
 
     def _may_have_run(self, held: Held) -> list[Attempt]:
         return [a for a in held.attempts if a.outcome is None or not a.outcome.proves_not_run]
@@ -748,12 +735,17 @@
     """Which servers are probed and when; and which logins wait for an answer."""
 
     def __init__(self, host: Host, rng: Random, roster: Roster, counts: Counts, means: Means,
-                 cold: ColdBudget, after: Callable[[int, Callable[[int], None]], None], allowed: bool):
-        self._host, self._rng, self._after, self._allowed = host, rng, after, allowed
+                 cold: ColdBudget, after: Callable[[int, Callable[[int], None]], None]) -> None:
+        self._host, self._rng, self._after, self._allowed = host, rng, after, False
         self._roster, self._counts, self._means, self._cold = roster, counts, means, cold
         self._weighed: bool | None = None  # whether only some servers are probed
         self._some: list[Server] = []  # those, if so
 
+    def take_settings(self, allowed: bool) -> None:
+        if allowed and not self._allowed and self._roster.ready:
+            self._after(0, self._weigh)
+        self._allowed, self._weighed = allowed, self._weighed if allowed else None
+
     def started(self, first_list: bool, servers: list[Server]) -> None:
         if not self._allowed:
             return
@@ -765,6 +757,8 @@
 
     def _weigh(self, now: int) -> None:
         """Once an age limit, from the first login on: whether to probe all servers or some, and which."""
+        if not self._allowed:
+            return
         ready = self._roster.ready
         some_only = self._means.some_only(now, len(ready))
         if some_only != self._weighed:
@@ -808,7 +802,7 @@
             self._after(int(self._rng.random() * AGE_LIMIT), lambda at, server=server: self.ask(at, server))
 
     def ask(self, now: int, server: Server) -> None:
-        if server.status is Status.READY:
+        if server.status is Status.READY and self._allowed:
             server.asked_at = server.probed_at = now
             self._host.probe(server.id)
 
@@ -843,15 +837,9 @@
 class Balancer:
     """One balancer's decisions. One method for each thing that can happen."""
 
-    def __init__(self, host: Host, rng: Random, *, now: int, zone: int, balancers: int,
-                 workloads: list[Workload], per_work: bool, cold: ColdRule, max_hand_offs: int,
-                 cancel_allowed: bool, max_retry_after: int, probes_allowed: bool, probe_price: float,
-                 ask_for_list: bool, ask_within: int, grouped: bool, weight_varies: bool, memory: int,
-                 crossing_price: float) -> None:
-        self._host, self._rng, self._workloads = host, rng, workloads
+    def __init__(self, host: Host, rng: Random, *, now: int, **settings: Any) -> None:
+        self._host, self._rng = host, rng
         self._listed = False  # whether a list has come
-        self._cancel_allowed, self._max_retry_after = cancel_allowed, max_retry_after
-        self._remembers = memory > 0
         self._where: dict[int, int] = {}  # the holder of a client's connection, where packets pass
         self._held: dict[int, Held] = {}
         self._cut: list[int] = []  # when own connections were cut off or moved, whose clients come back
@@ -859,22 +847,36 @@
         self._timers: dict[int, Callable[[int], None]] = {}
         self._next_mark = 1
         self._roster = Roster()
-        self._counts = Counts(self._roster, balancers, weight_varies)
+        self._counts = Counts(self._roster)
         self._health = Health(host, rng, self._counts)
-        self._means = Means(now, probe_price if probes_allowed else 0.0, balancers)
-        self._cold = ColdBudget(cold, balancers, self._counts, self._means)
+        self._means = Means(now)
+        self._cold = ColdBudget(self._counts, self._means)
+        self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold)
+        self._hand_offs = HandOffs(self._roster)
+        self._moves = Moves(host, rng, self._counts, self._draw.group_load)
+        self._probing = Probing(host, rng, self._roster, self._counts, self._means, self._cold, self._after)
+        self._list: ListFollowing | None = None
+        self.settings_changed(now, **settings)
+
+    def settings_changed(self, now: int, *, zone: int, balancers: int, workloads: list[Workload], per_work:
+                         bool, cold: ColdRule, max_hand_offs: int, cancel_allowed: bool, max_retry_after: int,
+                         probes_allowed: bool, probe_price: float, ask_for_list: bool, ask_within: int,
+                         grouped: bool, weight_varies: bool, memory: int, crossing_price: float) -> None:
+        """The settings, at the start or anew. What is known, held or timed stays; a workload's number too."""
+        self._workloads, self._cancel_allowed, self._remembers = workloads, cancel_allowed, memory > 0
+        self._max_retry_after = max_retry_after
+        self._counts.take_settings(balancers, weight_varies)
+        self._means.take_settings(probe_price if probes_allowed else 0.0, balancers)
+        self._cold.take_settings(cold, balancers)
         most = max(workload.importance for workload in workloads)
         reserves = [RESERVE * (1 - w.importance / most) if per_work and most else 0.0 for w in workloads]
         shortest = min((w.message_limit for w in workloads if w.message_limit), default=0)
-        self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold, grouped, zone,
-                          crossing_price, shortest, reserves)
-        self._hand_offs = HandOffs(workloads, self._roster, max_hand_offs)
-        self._moves = Moves(host, rng, self._counts, self._draw.group_load)
-        self._probing = Probing(host, rng, self._roster, self._counts, self._means, self._cold, self._after,
-                                probes_allowed)
-        self._list = ListFollowing(rng, ask_within) if ask_for_list else None
-        if self._list is not None:
-            self._after(int(rng.random() * PROBE_PERIOD), lambda _: host.watch_list(True))
+        self._draw.take_settings(grouped, zone, crossing_price, shortest, reserves)
+        self._hand_offs.take_settings(workloads, max_hand_offs)
+        self._probing.take_settings(probes_allowed)
+        if ask_for_list and self._list is None:
+            self._after(int(self._rng.random() * PROBE_PERIOD), lambda _: self._host.watch_list(True))
+        self._list = (self._list or ListFollowing(self._rng, ask_within)) if ask_for_list else None
 
     def login_arrived(self, now: int, login: Login) -> None:
         held = Held(login, self._like(login.cost))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -257,6 +257,30 @@
     assert not wire.counters["exceptions"]
 
 
+def test_new_settings_are_taken_and_open_connections_keep_their_workload(tmp_path):
+    plain = {"name": "plain", "soft-limit-ns": 800 * MS, "time-limit-ns": 3200 * MS}
+    wire = Wire("up", localities=["a", "b"], zone=1)
+    wire.client("c1", OPEN, 3000, "x\r\n")
+    wire.run(1000)
+    settings = wire.config["settings"] | {
+        "workloads": [plain | {"name": "new", "time-limit-ns": 900 * MS}, plain | {"importance": 3}],
+        "localities": ["b", "a"], "zone": 0, "permissions": wire.config["settings"]["permissions"] | {"max-hand-offs": 1}}
+    wire.reload(tmp_path / "config", settings=settings)
+    wire.run(500)
+    balancer = wire.process.facade._balancer
+    assert [(w.name, w.importance) for w in balancer._workloads] == [("plain", 3), ("new", 1.0)]
+    assert balancer._draw._zone == 1
+    wire.behaviour["s1"] = "busy"  # one hand-off only, by the new settings
+    wire.client("c2", "OPEN 1 7f c=new,d=2000\r\n")
+    wire.run(1000)
+    wire.reload(tmp_path / "config", settings=settings | {"workloads": settings["workloads"][:1]})
+    wire.run(100)
+    wire.client("c3", OPEN)  # a workload that is no more
+    wire.behaviour["s1"] = "up"
+    wire.run(2000)
+    wire.check("reload_settings")
+
+
 def test_new_limits_and_a_new_address_are_taken_and_clients_stay(tmp_path):
     wire = Wire("up")
     for number in range(20):
