--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -885,7 +885,7 @@
         self._draw.saw_group(login.group)
         # Those who come back beyond the own connections cut or moved lately were another balancer's.
         cut = [at for at in self._cut if now - at < AGE_LIMIT]
-        held.from_elsewhere = login.came_back and not cut and self._counts.mean_pressure < ROOM
+        held.from_elsewhere = login.came_back and not cut and self._counts.mean_pressure < ROOM - GROUP_MARGIN
         self._cut = cut[login.came_back:]
         self._place(now, held)
 
