--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -206,8 +206,7 @@
     def placed(self, now: int, server: Server, held: Held) -> None:
         alone = held.load if held.from_elsewhere else 0.0
         server.placed[held.login.login] = (now, held.load, alone)
-        server.since += held.load
-        server.alone += alone
+        server.since, server.alone = server.since + held.load, server.alone + alone
         self._since += held.load - alone
         if self.some_only:
             self._recent.append((now, server, held.login.login))
@@ -885,7 +884,7 @@
         self._draw.saw_group(login.group)
         # Those who come back beyond the own connections cut or moved lately were another balancer's.
         cut = [at for at in self._cut if now - at < AGE_LIMIT]
-        held.from_elsewhere = login.came_back and not cut and self._counts.mean_pressure < ROOM - GROUP_MARGIN
+        held.from_elsewhere = login.came_back and not cut and self._counts.mean_pressure < ROOM
         self._cut = cut[login.came_back:]
         self._place(now, held)
 
@@ -989,6 +988,7 @@
             self._list.failures = 0
         started, left = self._roster.apply(now, scope, lines)
         for server in left:
+            self._cut += [now] * int(server.count or 0)  # other balancers' clients there come back alike
             self._moves.evacuate(server, "drains" if server.status is Status.DRAINING else "is gone")
         self._probing.started(not self._listed, started)
         self._listed = True
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -415,3 +415,15 @@
         scene.login(number, came_back=True)
     bounced = [line for line in scene.lines if "bounce" in line]
     assert (len(bounced) > 5) == (own or pressure > 0.7) and (bounced or not own)
+
+
+def test_clients_of_a_server_that_drains_are_expected_at_all_balancers():
+    # Guards against a flood that all balancers see and each takes for another one's.
+    scene = ready(20, 20, 20, 20)
+    scene.auto = {server: Report(20, 0.5) for server in (1, 2, 3, 4)}
+    scene.run(3000)
+    scene.listed(4, scope=Scope.DELTA, status=Status.DRAINING)
+    scene.lines.clear()
+    for number in range(1, 31):
+        scene.login(number, came_back=True)
+    assert len([line for line in scene.lines if "bounce" in line]) > 5
