Own placements count on a server whose size is not learned yet, by the typical size

Decisions printed: a balancer 1.3 s old placed 58 clients on one server that had reported 3 connections, believed at 0.24 throughout. Cause: Counts.projected gave the bare pressure where no size is known, and under four connections none is learned. Ruled out: bounces (none), the door, probes (reports under 1 s old).

--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -224,8 +224,8 @@
         """
         if server.pressure is None:
             return None
-        size = self.capacity(server)
-        if not size:
+        size = self.capacity(server) or self.typical  # Guards against a flood where no size is known yet
+        if size <= 1.0:
             return server.pressure
         # One own login of many balancers' says nothing of the others; two at once say that a flood comes in.
         flood = max(0.0, self._since - 1.0) if self.some_only else self._since
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,7 +5,7 @@
 import pytest
 from scene import MS, Scene
 
-from corklift.interface import Effect, Login, NoteKind, Outcome, Reach, Report, Scope, Status, Workload
+from corklift.interface import Effect, Listed, Login, NoteKind, Outcome, Reach, Report, Scope, Status, Workload
 
 
 def ready(*counts, **settings) -> Scene:
@@ -427,3 +427,14 @@
     for number in range(1, 31):
         scene.login(number, came_back=True)
     assert len([line for line in scene.lines if "bounce" in line]) > 5
+
+
+def test_own_placements_count_on_a_server_whose_size_is_not_learned_yet():
+    # Guards against a balancer that has just started and heaps a flood on a server with too few connections to
+    # learn its size from: own placements were not counted there.
+    scene = Scene()
+    scene.balancer.servers_listed(scene.now, Scope.FULL, 1, [Listed(n, 0, n, 0, Status.READY, 1.0, 0) for n in (1, 2)])
+    scene.auto = {1: Report(2, 0.1), 2: Report(24, 0.6)}
+    scene.run(2500)
+    placed = [scene.login(number, came_back=True) for number in range(1, 80)]
+    assert 10 < placed.count(1) < 40 and placed[-1] is None
