At a restart connections are moved slowly at first, then faster

Cause: the first is back only 0.9 s after the second began to move its clients evenly (Relay.stop), so those sent away first found no balancer in their zone. Ruled out: bounces (none), beliefs (right since the last change).

--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -471,9 +471,10 @@
         while self._now() < began + self._limits.stop_time and (self._held or self._waiting):
             still = sorted(number for number, ticket in self._open.items() if not ticket.to_move)
             left = max(0, began + self._limits.stop_accepting + moving - self._now())
-            # Evenly over all the time there is. Guards against a flood at those who take them in.
+            # Over all the time there is, slowly at first. Guards against a flood at those who take them in, and
+            # against clients sent away while a balancer that was stopped before this one is not back yet.
             most = max(most, len(still))
-            number = len(still) - most * left // moving
+            number = len(still) - most * (moving ** 2 - (moving - left) ** 2) // moving ** 2
             for ticket in [self._open[at] for at in still[:max(0, number)]]:
                 ticket.to_move = True
                 self._scheduler.wake(ticket.task)
