A configuration with a name for an address, deep JSON or absurd limits is refused by its key

Found by reading: a discovery given by name passed the check and then blocked in the look-up, or raised at each connect (__main__._address); JSON nested deep and a memory limit of 1e306 ended the start with a trace and a reload without a line; a new address while the watch had just failed could end the watch for good, as Process._keep slept outside its try. Tests fail without each.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -7,6 +7,7 @@
 import os
 import resource
 import signal
+import socket
 import sys
 import traceback
 from collections.abc import Callable, Sequence
@@ -25,8 +26,13 @@
 
 def _address(config: Any, key: str) -> tuple[str, int]:
     host, _, port = need(config, key, str).rpartition(":")
-    if not host or not port.isdecimal() or int(port) > 65535:
-        raise BadConfig(f"config: {key} holds {config[key]!r:.60}")
+    try:
+        # Guards against a name, whose look-up would block everything at each connect.
+        socket.inet_pton(socket.AF_INET, host)
+        if not (port.isascii() and port.isdecimal()) or int(port) > 65535:
+            raise ValueError
+    except (OSError, ValueError):
+        raise BadConfig(f"config: {key} holds {config[key]!r:.60}") from None
     return host, int(port)
 
 
@@ -43,7 +49,7 @@
     try:
         with open(path, encoding="utf-8") as file:
             return json.load(file)
-    except (OSError, ValueError) as problem:
+    except (OSError, ValueError, RecursionError) as problem:
         raise BadConfig(f"config: BALANCER_CONFIG: {problem}") from None
 
 
@@ -87,8 +93,12 @@
         longest = max(workload.time_limit for workload in arguments["workloads"])
         given = need(config, "limits", dict)
         given = given | {"sockets": _allow_sockets(need(given, "sockets", int, "limits."))}
-        return cls(listen, discovery, seed, known, Limits.of(given, connect_time, len(known.entries), longest),
-                   arguments, names, told, _names(settings, "localities"), _names(settings, "skus"),
+        try:
+            limits = Limits.of(given, connect_time, len(known.entries), longest)
+        except OverflowError:
+            raise BadConfig(f"config: limits holds {given!r:.60}") from None
+        return cls(listen, discovery, seed, known, limits, arguments, names, told,
+                   _names(settings, "localities"), _names(settings, "skus"),
                    need(allow, "keepalive-ns", int, "settings.permissions."))
 
 
@@ -121,12 +131,15 @@
 
     def _keep(self, job: Callable[[], None]) -> None:
         """Runs one of the jobs that all connections live on, and runs it again if an exception ends it."""
+        again = False
         while True:
             try:
+                if again:
+                    self.scheduler.sleep(20 * MS)  # within, as it may be interrupted too
                 return job()
             except Exception:
+                again = True
                 self._failed(traceback.format_exc(limit=-4))
-                self.scheduler.sleep(20 * MS)
 
     def reload(self) -> None:
         """Takes what a new configuration changes; clients, the list and all counts stay. A bad one changes nothing."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -363,6 +363,16 @@
     wire.client("c1", OPEN)
     wire.run(500)
     assert wire.counters["exceptions"] == 3 and wire.lines[-1].endswith("c1 < UP s2")
+    # A new address for discovery while its watch has just failed.
+    real = facade.listed
+    facade.listed = lambda *arguments: 1 / 0
+    wire.change(wire.entry("s1"))
+    wire.run(10)
+    facade.listed = real
+    wire.move_discovery()
+    wire.process.watch.follow(("127.0.0.1", wire.agent.getsockname()[1]), wire.limits)
+    wire.run(500)
+    assert wire.told[-1][1].endswith(" at 2") and wire.process.watch._index == wire.index
 
 
 # Parts on their own
@@ -505,7 +515,8 @@
 
 
 @pytest.mark.parametrize("change, key", [
-    ({"listen": "nowhere"}, "listen"), ({"seed": "zz"}, "seed"), ({"limits": {}}, "limits.sockets"),
+    ({"listen": "nowhere"}, "listen"), ({"discovery": "registry.example:80"}, "discovery"),
+    ({"limits": {"sockets": 200, "memory_mb": 1e306}}, "limits"), ("[" * 100_000, "BALANCER_CONFIG"), ({"seed": "zz"}, "seed"), ({"limits": {}}, "limits.sockets"),
     ({"known": {"endpoints": 3}}, "known"), ({"settings": {}}, "rules"), ("{", "BALANCER_CONFIG"),
     ({"settings": CONFIG["settings"] | {"workloads": [{"name": "w", "time-limit-ns": -1, "soft-limit-ns": 1}]}},
      "time-limit-ns"), ({"settings": CONFIG["settings"] | {"rules": {"cold-from": "x"}}}, "cold-from")])
