--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -516,7 +516,8 @@
 
 @pytest.mark.parametrize("change, key", [
     ({"listen": "nowhere"}, "listen"), ({"discovery": "registry.example:80"}, "discovery"),
-    ({"limits": {"sockets": 200, "memory_mb": 1e306}}, "limits"), ("[" * 100_000, "BALANCER_CONFIG"), ({"seed": "zz"}, "seed"), ({"limits": {}}, "limits.sockets"),
+    ({"limits": {"sockets": 200, "memory_mb": 1e306}}, "limits"),
+    pytest.param("[" * 100_000, "BALANCER_CONFIG", id="deep"), ({"seed": "zz"}, "seed"), ({"limits": {}}, "limits.sockets"),
     ({"known": {"endpoints": 3}}, "known"), ({"settings": {}}, "rules"), ("{", "BALANCER_CONFIG"),
     ({"settings": CONFIG["settings"] | {"workloads": [{"name": "w", "time-limit-ns": -1, "soft-limit-ns": 1}]}},
      "time-limit-ns"), ({"settings": CONFIG["settings"] | {"rules": {"cold-from": "x"}}}, "cold-from")])
