The module answers for a whole fleet: chances, and placements that others tell of

Proxies that place by our choices need the draw's chances, not one draw. Draw.pick is parted into its entrants and its weights; chances asks the same two and draws nothing. With a span, cold servers and those on trial get no more of all its logins than their budget. What others placed counts until a report holds it.

--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -177,6 +177,19 @@
         address = self._addresses.get(server)
         return None if address is None else Place(server, address, 0)
 
+    # What a front calls whose clients are placed by others
+
+    def chances(self, workload: str, span: int) -> dict[str, float]:
+        """By server's name, the chance for all logins that others place in the span; the rest to 1 is refused."""
+        now = self._scheduler.now()
+        self._settled_at = now if self._settled_at is None else self._settled_at
+        found = self._balancer.chances(now, self._workloads[workload], span)
+        return {self._names[server]: chance for server, chance in found.items() if server in self._names}
+
+    def placed_by_others(self, name: str, number: int, failed: int) -> None:
+        """Others have placed so many logins on this server, and so many of them failed."""
+        self._balancer.placed_by_others(self._scheduler.now(), self._server_id(name), number, failed)
+
     # What upkeep calls
 
     def listed(self, scope: Scope, content: Listing) -> None:
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -12,6 +12,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from itertools import product
+from math import prod
 from random import Random
 from typing import Any
 
@@ -49,6 +51,8 @@
 ASK_ROUNDS = 2
 JOIN_WITHIN = PROBE_PERIOD // 20  # a probe sent so lately is waited for, not sent again
 ASK_PART = 0.25  # of the soft limit, for the answers of one round
+UNASKED = 0.5  # of a cold server's budget is given to others, who come unevenly and tell of it late
+DOUBTFUL, LOTS = 6, 2000  # cold servers all of whose lots are told apart; so many lots where they are more
 GROUPS_LIKELY = 40  # of unknown size; what is seen of a group's share is drawn towards that of one of them
 
 
@@ -203,13 +207,12 @@
             _, server, login = self._recent.pop(0)
             self.unplaced(server, login)
 
-    def placed(self, now: int, server: Server, held: Held) -> None:
-        alone = held.load if held.from_elsewhere else 0.0
-        server.placed[held.login.login] = (now, held.load, alone)
-        server.since, server.alone = server.since + held.load, server.alone + alone
-        self._since += held.load - alone
+    def placed(self, now: int, server: Server, login: int, load: float, alone: float = 0.0) -> None:
+        server.placed[login] = (now, load, alone)
+        server.since, server.alone = server.since + load, server.alone + alone
+        self._since += load - alone
         if self.some_only:
-            self._recent.append((now, server, held.login.login))
+            self._recent.append((now, server, login))
 
     def unplaced(self, server: Server, login: int) -> None:
         _, load, alone = server.placed.pop(login, (0, 0.0, 0.0))
@@ -298,6 +301,7 @@
         self._seen, self._at = 0.0, now  # logins, halved every RATE_TIME
         self._began: int = now  # how long they are counted; longer, if connections stood before
         self._last = [-RATE_TIME, -RATE_TIME]  # when the last two came
+        self._told: dict[int, int] = {}  # logins that others placed, by the second in which they told of them
 
     def take_settings(self, fee: float, balancers: int) -> None:
         self._fee, self._balancers = fee, balancers
@@ -307,12 +311,22 @@
         self._began = now - 10 * RATE_TIME
         self.login_seen(now, False)
 
-    def login_seen(self, now: int, came_back: bool) -> None:
+    def login_seen(self, now: int, came_back: bool, number: int = 1) -> None:
         """Clients that come back bring no importance of their own, however many they are."""
         if not came_back:
-            self._seen, self._at = self._fade(now) + 1.0, now
+            self._seen, self._at = self._fade(now) + number, now
         self._last = [self._last[1], now]
 
+    def told(self, now: int, number: int) -> None:
+        self.login_seen(now, False, number)
+        second = now // SECOND
+        self._told = {at: held for at, held in self._told.items() if at > second - 3}
+        self._told[second] = self._told.get(second, 0) + number
+
+    def of_late(self, now: int) -> int:
+        """The most logins that others told of in one of the last seconds: a flood is seen at once."""
+        return max((held for at, held in self._told.items() if at > now // SECOND - 3), default=0)
+
     def _fade(self, now: int) -> float:
         return self._seen * 0.5 ** ((now - self._at) / RATE_TIME)
 
@@ -362,28 +376,54 @@
         age = max(0, now - server.started_at) / max(1, self._rule.ramp)
         return min(1.0, self._rule.start_share + (1 - self._rule.start_share) * age)
 
-    def _refill(self, now: int, server: Server) -> float:
-        """Drains what was spent at the rate the server can take; returns this balancer's part of a span."""
+    def _level(self, now: int, server: Server) -> tuple[float, float]:
+        """What is spent, drained at the rate the server can take, and this balancer's part of a span."""
         size = self._counts.capacity(server) or self._rule.ramp / self._rule.span
         rate = self._rule.multiple * self._part(now, server) * size / max(1, self._rule.ramp) * self._share
-        server.cold_spent = max(0.0, server.cold_spent - rate * (now - server.cold_at))
+        return max(0.0, server.cold_spent - rate * (now - server.cold_at)), rate * self._rule.span
+
+    def _refill(self, now: int, server: Server) -> None:
+        server.cold_spent, _ = self._level(now, server)
         server.cold_at = now
-        return rate * self._rule.span
 
     def allows(self, now: int, server: Server, held: Held, rng: Random) -> bool:
         if not self.is_cold(now, server):
             return True
-        part = self._refill(now, server)
+        self._refill(now, server)
+        chance = self.chance(now, server, held)
+        return chance >= 1.0 or chance > 0.0 and held.turns.setdefault(server.id, rng.random()) < chance
+
+    def chance(self, now: int, server: Server, held: Held) -> float:
+        """The chance that the budget lets this login take part in the draw of the server."""
+        if not self.is_cold(now, server):
+            return 1.0
+        spent, part = self._level(now, server)
         most = max(1.0, part)
-        if server.cold_spent + min(held.load, most) > most + 1e-9:
-            return False
+        if spent + min(held.load, most) > most + 1e-9:
+            return 0.0
         # Guards against hundreds of balancers that each round their part of a server up to a connection: less
         # is taken as a chance, by the logins this balancer places in a span. Of those that come back all
         # balancers may have some at once, so a span is taken to hold one at least.
         logins = self._means.rate(now) * self._rule.span / SECOND
         if held.login.came_back or self._means.many(now, self._rule.span):
             logins = max(1.0, logins)
-        return part >= logins or held.turns.setdefault(server.id, rng.random()) * logins < part
+        return 1.0 if part >= logins else part / logins
+
+    def bound(self, now: int, server: Server, span: int, even: float) -> float:
+        """The most of all logins of a span that others may send there; `even`: its share by power alone.
+
+        Guards against hundreds that place by one answer until they have the next: one's find is all's."""
+        logins = max(self._means.rate(now), self._means.of_late(now)) * span / SECOND
+        if server.fails >= FAILS_IN_ROW:
+            return 1.0 / max(1.0, logins)  # one trial login, as in the draw
+        if not self.is_cold(now, server):
+            return 1.0
+        share = even * self._part(now, server)
+        if logins < 1.0:
+            return share
+        spent, part = self._level(now, server)
+        left = max(0.0, part - spent + part * span / self._rule.span) * UNASKED
+        return min(share * self._rule.multiple, left / logins)
 
     def spend(self, now: int, server: Server, load: float) -> None:
         if self.is_cold(now, server):
@@ -426,30 +466,74 @@
         return pressure is None or pressure < max(ROOM, self._counts.mean_pressure)
 
     def pick(self, now: int, held: Held, allowed: Callable[[Server], bool]) -> Server | None:
-        tried = [attempt.server for attempt in held.attempts]
         able = [s for s in self._roster.ready if allowed(s) and self._cold.allows(now, s, held, self._rng)]
-        if not able:
+        drawn, even = self._entrants(now, held, able)
+        if not drawn:
             return None
+        return self._rng.choice(drawn) if even else self._weighted(drawn)
+
+    def chances(self, now: int, held: Held, span: int) -> dict[int, float]:
+        """`pick`'s answer for every server at once, nothing drawn, nothing changed; empty where it has none.
+
+        With a span: for all the logins that others place by it meanwhile. Their sum is under 1 where the
+        servers with room may not be sent all of them."""
+        ready = self._roster.ready
+        admitted = {server: 1.0 if span else self._cold.chance(now, server, held) for server in ready}
+        doubtful = [s for s, chance in admitted.items() if 0.0 < chance < 1.0]
+        found: dict[Server, float] = {}
+        every, rng = len(doubtful) <= DOUBTFUL, Random(0)
+        for lots in (product((True, False), repeat=len(doubtful)) if every else
+                     ([rng.random() < admitted[s] for s in doubtful] for _ in range(LOTS))):
+            part = (prod(admitted[s] if lot else 1.0 - admitted[s] for s, lot in zip(doubtful, lots))
+                    if every else 1.0 / LOTS)
+            out = {s for s, lot in zip(doubtful, lots) if not lot}
+            drawn, even = self._entrants(now, held, [s for s in ready if admitted[s] and s not in out])
+            weights = [1.0] * len(drawn) if even else self._weights(drawn)
+            whole = sum(weights)
+            for server, weight in zip(drawn, weights):
+                found[server] = found.get(server, 0.0) + part * weight / whole
+        if span:
+            found = self._bounded(now, found, span)
+        return {server.id: chance for server, chance in found.items()}
+
+    def _bounded(self, now: int, found: dict[Server, float], span: int) -> dict[Server, float]:
+        """What is too much for a server goes to the others in the ratio of their chances."""
+        power = sum(server.power for server in found)
+        bounds = {server: self._cold.bound(now, server, span, server.power / power) for server in found}
+        if all(self._cold.is_cold(now, server) for server in found) and not self._counts.mean_pressure:
+            return found  # a fleet that starts as one, of which nothing is known: there is no better place
+        capped: dict[Server, float] = {}
+        while True:
+            free = sum(chance for server, chance in found.items() if server not in capped)
+            scale = max(0.0, 1.0 - sum(capped.values())) / free if free else 0.0
+            over = [s for s, chance in found.items() if s not in capped and chance * scale > bounds[s]]
+            if not over:
+                return {s: capped[s] if s in capped else chance * scale for s, chance in found.items()}
+            capped.update((server, bounds[server]) for server in over)
+
+    def _entrants(self, now: int, held: Held, able: list[Server]) -> tuple[list[Server], bool]:
+        """Who of these takes part in the draw, and whether that is even for want of counts."""
+        if not able:
+            return [], False
+        tried = [attempt.server for attempt in held.attempts]
         untried = [s for s in able if s.id not in tried] or able
         well = [s for s in untried if self._health.in_draw(now, s)] or untried
         fresh = [s for s in well if self._counts.fresh(now, s)]
         if not any(server.count is not None for server in fresh):
             # None has a count, or all would be dropped: the design's even draw over ready servers.
-            return self._rng.choice(well)
+            return well, True
         fresh = [s for s in fresh if self._not_full(now, s, held)]
         if not fresh:
-            return None
+            return [], False
         roomy = [s for s in fresh if self.has_room(now, s)]
         near = [s for s in roomy if s.zone == self._zone] if self._stays_near(held.login) else []
         if near and self._grouped and held.login.group:
             near = self._holders(held.login.group, near, [])
         if near:
-            return self._weighted(near)
+            return near, False
         if self._grouped and held.login.group:
-            roomy = self._holders(held.login.group, roomy, fresh)
-            if not roomy:
-                return None
-        return self._weighted(roomy or fresh)
+            return self._holders(held.login.group, roomy, fresh), False
+        return roomy or fresh, False
 
     def _not_full(self, now: int, server: Server, held: Held) -> bool:
         # Guards against a standing overload: what is piled up on a full server spoils all its connections.
@@ -550,12 +634,13 @@
             held.round += 1
 
     def _weighted(self, servers: list[Server]) -> Server:
-        if len(servers) == 1:
-            return servers[0]
+        return servers[0] if len(servers) == 1 else self._rng.choices(servers, self._weights(servers))[0]
+
+    def _weights(self, servers: list[Server]) -> list[float]:
+        """The design's 1/(count + 1), the counts by power."""
         unread = any(s.count is None and s.pressure is None for s in servers)
         mean = self._counts.mean_per_power(self._roster.ready) if unread else 0.0
-        weights = [s.power / (self._counts.per_power(s, mean) + 1.0) for s in servers]
-        return self._rng.choices(servers, weights)[0]
+        return [s.power / (self._counts.per_power(s, mean) + 1.0) for s in servers]
 
     def _holders(self, group: int, roomy: list[Server], fresh: list[Server]) -> list[Server]:
         """The servers that should hold a group: so many as its load needs, those that hold most of it first.
@@ -845,6 +930,7 @@
         self._cost_sum, self._cost_seen = 0.0, 0
         self._timers: dict[int, Callable[[int], None]] = {}
         self._next_mark = 1
+        self._others = 0  # numbers placements told by others, below all logins
         self._roster = Roster()
         self._counts = Counts(self._roster)
         self._health = Health(host, rng, self._counts)
@@ -993,6 +1079,30 @@
         self._probing.started(not self._listed, started)
         self._listed = True
 
+    def chances(self, now: int, workload: int, span: int = 0) -> dict[int, float]:
+        """Each server's chance in the draw of a login of this workload that came now; empty: it is refused.
+
+        Changes nothing. With a span (ns): the chances by which others may place all logins of that span; what
+        is left to 1 is to be refused."""
+        limit = self._workloads[workload].time_limit
+        return self._draw.chances(now, Held(Login(0, workload, 0, 0, now + limit, None, 0), 1.0), span)
+
+    def placed_by_others(self, now: int, server: int, number: int, failed: int) -> None:
+        """So many logins were placed there by our chances since this was last told; so many of them failed.
+
+        They count as own placements do until a report holds them."""
+        known = self._roster.servers.get(server)
+        self._means.told(now, number)
+        if known is None or not number:
+            return
+        self._others -= 1
+        self._counts.placed(now, known, self._others, float(number))
+        self._cold.spend(now, known, float(number))
+        if failed >= number:
+            self._health.failed(now, known, 0, Outcome.ERROR)
+        else:
+            self._health.worked(known, 0)
+
     def peer_told(self, now: int, peer: int, content: bytes) -> None:
         """Nothing is said between balancers yet, so nothing is heard."""
 
@@ -1034,7 +1144,7 @@
         login = held.login.login
         self._health.drawn(server, login)
         self._cold.spend(now, server, held.load)
-        self._counts.placed(now, server, held)
+        self._counts.placed(now, server, login, held.load, held.load if held.from_elsewhere else 0.0)
         cut_at = self._hand_offs.cut_at(now, held)
         held.attempts.append(Attempt(server.id, now))
         held.round, held.asked, held.some, held.able = 0, 0, [], []
--- /dev/null
+++ b/tests/test_chances.py
@@ -0,0 +1,144 @@
+"""The module's answer for a whole fleet: it is what `pick` draws by, and no more than a cold server bears."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from scene import MS, Scene
+
+from corklift.interface import ColdRule, Listed, Login, Outcome, Report, Scope, Status, Workload
+from corklift.policy import Balancer
+from corklift.records import Held
+
+SECOND = 1000 * MS
+ANY = Login(0, 0, 0, 0, 10**18, None, 0)
+
+
+def listed(server, zone=0, weight=1.0, started_at=0, status=Status.READY) -> Listed:
+    return Listed(server, zone, 0, 0, status, weight, started_at)
+
+
+def scene_of(seed: int) -> Scene:
+    """Servers of several sizes and zones, some cold, full, failing, late, unheard of; drawn by the seed."""
+    rng = Random(seed)
+    scene = Scene(seed, cold=ColdRule(0.3, 9000 * MS, 3.0, 1000 * MS), balancers=rng.choice((1, 3, 40)),
+                  crossing_price=rng.choice((0.0, 0.5)),
+                  workloads=[Workload("dear", 4.0, 800 * MS, 3200 * MS), Workload("cheap", 1.0, 800 * MS, 3200 * MS)],
+                  per_work=rng.random() < 0.5, probes_allowed=False)
+    balancer = scene.balancer
+    scene.now += 20 * SECOND
+    number = rng.randint(1, 12)
+    lines = [listed(server, zone=rng.randint(0, 1), weight=rng.choice((1.0, 2.0)),
+                    started_at=scene.now - rng.choice((200, 3000, 60_000)) * MS) for server in range(1, number + 1)]
+    balancer.servers_listed(scene.now, Scope.FULL, 1, lines)
+    for server in range(1, number + 1):
+        if rng.random() < 0.85:
+            busy = rng.choice((0.1, 0.4, 0.65, 0.75, 0.95))
+            balancer.probe_answered(scene.now, server, 0, Outcome.FULFILLED,
+                                    Report(rng.randint(0, 60), busy if rng.random() < 0.7 else None))
+    for login in range(1, rng.randint(1, 20)):
+        balancer.login_arrived(scene.now, Login(login, rng.randint(0, 1), 0, 0, scene.now + 3 * SECOND, None, 0))
+        if scene.sent and rng.random() < 0.3:
+            balancer.hand_off_ended(scene.now, login, False, scene.sent[-1][1],
+                                    rng.choice((Outcome.ERROR, Outcome.FULL)), 0, 0, None)
+        scene.now += rng.randint(0, 300) * MS
+    return scene
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_chances_are_what_pick_draws_by(seed):
+    scene, drawn, draws = scene_of(seed), Counter(), 3000
+    told = scene.balancer.chances(scene.now, seed % 2)
+    before = scene.balancer.chances(scene.now, seed % 2)
+    draw = scene.balancer._draw
+    for _ in range(draws):
+        server = draw.pick(scene.now, Held(ANY._replace(workload=seed % 2), 1.0), lambda server: True)
+        drawn[server.id if server else None] += 1
+    refused = 1.0 - sum(told.values())
+    apart = sum(abs(told.get(server, 0.0) - drawn[server] / draws) for server in {*told, *drawn} - {None})
+    assert apart + abs(refused - drawn[None] / draws) < 0.1
+    assert all(told.get(server, 0.0) > 0 for server in drawn if server is not None)
+    assert before == told == scene.balancer.chances(scene.now, seed % 2)  # asking changes nothing
+
+
+def test_drained_and_gone_servers_have_no_chance():
+    scene = Scene(probes_allowed=False)
+    scene.balancer.servers_listed(scene.now, Scope.FULL, 1, [listed(1), listed(2), listed(3)])
+    assert scene.balancer.chances(scene.now, 0) == pytest.approx({1: 1 / 3, 2: 1 / 3, 3: 1 / 3})
+    scene.balancer.servers_listed(scene.now, Scope.DELTA, 2, [listed(1, status=Status.DRAINING),
+                                                              listed(2, status=Status.GONE)])
+    assert scene.balancer.chances(scene.now, 0) == {3: 1.0}
+
+
+def test_what_others_placed_counts_until_a_report_holds_it():
+    scene = Scene(probes_allowed=False, balancers=1)
+    balancer = scene.balancer
+    balancer.servers_listed(scene.now, Scope.FULL, 1, [listed(1), listed(2)])
+    for server in (1, 2):
+        balancer.probe_answered(scene.now, server, 0, Outcome.FULFILLED, Report(9))
+    assert balancer.chances(scene.now, 0) == pytest.approx({1: 0.5, 2: 0.5})
+    balancer.placed_by_others(scene.now, 1, 10, 0)
+    assert balancer.chances(scene.now, 0) == pytest.approx({1: 1 / 3, 2: 2 / 3})
+    scene.now += 1200 * MS
+    balancer.probe_answered(scene.now, 1, 0, Outcome.FULFILLED, Report(19))
+    assert balancer.chances(scene.now, 0) == pytest.approx({1: 1 / 3, 2: 2 / 3})
+    balancer.placed_by_others(scene.now, 99, 5, 5)  # of a server that is listed no more
+
+
+def test_a_server_where_all_of_the_others_fail_leaves_and_comes_back_by_one_trial():
+    scene = Scene(probes_allowed=False, balancers=1)
+    balancer = scene.balancer
+    balancer.servers_listed(scene.now, Scope.FULL, 1, [listed(1), listed(2)])
+    for server in (1, 2):
+        balancer.probe_answered(scene.now, server, 0, Outcome.FULFILLED, Report(5))
+    balancer.placed_by_others(scene.now, 2, 600, 0)
+    balancer.placed_by_others(scene.now, 1, 3, 3)
+    balancer.placed_by_others(scene.now, 1, 3, 3)
+    assert set(balancer.chances(scene.now, 0, SECOND)) == {2}
+    scene.now += 2700 * MS
+    for server in (1, 2):
+        balancer.probe_answered(scene.now, server, 0, Outcome.FULFILLED, Report(5))
+    logins = balancer._means.rate(scene.now)
+    assert balancer.chances(scene.now, 0, SECOND)[1] * logins <= 1.0 + 1e-9
+    balancer.placed_by_others(scene.now, 1, 1, 0)
+    assert balancer.chances(scene.now, 0, SECOND)[1] > 0.2
+
+
+@pytest.mark.parametrize("rate", [0, 20, 400])
+def test_a_cold_server_is_given_no_more_than_its_budget_in_a_span(rate):
+    # Hundreds of proxies place by one answer for a second: the sum of what they place is bounded, not each one's.
+    rule = ColdRule(0.3, 9000 * MS, 3.0, 1000 * MS)
+    scene = Scene(probes_allowed=False, balancers=1, cold=rule)
+    balancer: Balancer = scene.balancer
+    scene.now += 100 * SECOND
+    servers = [listed(server, started_at=1) for server in range(1, 10)]
+    balancer.servers_listed(scene.now, Scope.FULL, 1, servers + [listed(10, started_at=scene.now)])
+    size = 100  # connections that fill a server
+    for second in range(12):
+        for server in range(1, 10):
+            balancer.probe_answered(scene.now, server, 0, Outcome.FULFILLED, Report(50, 0.5))
+        balancer.probe_answered(scene.now, 10, 0, Outcome.FULFILLED, Report(0, 0.0))
+        told = balancer.chances(scene.now, 0, SECOND)
+        assert sum(told.values()) == pytest.approx(1.0)
+        unbounded = balancer.chances(scene.now, 0)
+        bears = rule.multiple * size / 9 * min(1.0, 0.3 + 0.7 * second / 9)  # logins a second
+        if second < 9:
+            assert told[10] <= 0.3 * (0.3 + 0.7 * second / 9) + 1e-9
+            assert second < 2 or told[10] * rate <= bears
+        for server, chance in told.items():
+            balancer.placed_by_others(scene.now, server, round(rate * chance), 0)
+        scene.now += SECOND
+        assert unbounded.get(10, 0.0) == 0.0 or told[10] <= unbounded[10] + 1e-9
+    assert balancer.chances(scene.now, 0, SECOND) == pytest.approx(
+        balancer.chances(scene.now, 0))  # warm: the draw's own again
+
+
+def test_all_full_is_a_refusal_and_a_fleet_that_starts_as_one_is_used():
+    scene = Scene(probes_allowed=False, balancers=1)
+    scene.balancer.servers_listed(scene.now, Scope.FULL, 1, [listed(1), listed(2)])
+    for server in (1, 2):
+        scene.balancer.probe_answered(scene.now, server, 0, Outcome.FULFILLED, Report(50, 0.99))
+    assert scene.balancer.chances(scene.now, 0, SECOND) == {}
+    scene = Scene(probes_allowed=False, balancers=1)
+    scene.balancer.servers_listed(scene.now, Scope.FULL, 1, [listed(n, started_at=scene.now) for n in (1, 2, 3)])
+    assert sum(scene.balancer.chances(scene.now, 0, SECOND).values()) == pytest.approx(1.0)
