--- a/corklift/net/scheduler.py
+++ b/corklift/net/scheduler.py
@@ -34,8 +34,9 @@
 
     __slots__ = ("_run", "fds", "got", "turn", "waits", "woken", "done", "problem")
 
-    def __init__(self, run: Callable[[], None]) -> None:
-        self._run = greenlet(run)
+    def __init__(self, run: Callable[[], None], hub: greenlet | None) -> None:
+        # Guards against an end that goes on in whichever task spawned this one: a greenlet ends into its parent.
+        self._run = greenlet(run, hub)
         self.fds: dict[int, int] = {}
         self.got: dict[int, int] = {}
         self.turn = 0  # of its waits; a timer of an earlier one is void
@@ -75,7 +76,7 @@
             except Exception:  # ends this task alone; its own finally clauses have run
                 self._failed(traceback.format_exc(limit=-4))
             task.done = True
-        task = Task(guarded)
+        task = Task(guarded, self._hub)
         self._ready.append(task)
         return task
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -602,3 +602,26 @@
     wire.run(6000)
     known = [at for at, report in taken if report is not None]
     assert taken and known and min(known) >= wire.START + 3000 * MS
+
+
+def test_a_task_that_ends_leaves_the_wait_of_the_task_that_spawned_it_alone():
+    now, seen, problems = [0], [], []
+
+    class Poll:
+        def poll(self, pause):
+            now[0] += (pause or 0) * MS
+            return []
+    scheduler = Scheduler(lambda: now[0], problems.append, Poll())
+
+    def child():
+        scheduler.sleep(5 * MS)
+        seen.append(("child", now[0] // MS))
+
+    def parent():
+        scheduler.spawn(child)
+        scheduler.wait({}, 50 * MS)
+        seen.append(("parent", now[0] // MS, scheduler.current is task))
+        scheduler.stop()
+    task = scheduler.spawn(parent)
+    scheduler.run()
+    assert seen == [("child", 5), ("parent", 50, True)] and not problems
