--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -230,6 +230,14 @@
 
 
 def main() -> int:
+    """The balancer, unless a command is given: only then is the command line imported."""
+    if len(sys.argv) > 1:
+        from corklift.cli import main as command
+        command(prog_name="corklift")
+    return balance()
+
+
+def balance() -> int:
     # Guards against the signal's usual effect, an end, and its loss before the first configuration is in use.
     early: list[int] = []
     signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
--- a/corklift/rpc/link.py
+++ b/corklift/rpc/link.py
@@ -40,6 +40,11 @@
         """Nothing more can be sent."""
         return self._call.ended
 
+    @property
+    def done(self) -> bool:
+        """The peer has ended its sending, and all of it has been read."""
+        return self._call.remote_ended and not self._call.inbox
+
     @property
     def pending(self) -> int:
         """Bytes queued that the peer has not let go yet."""
