--- a/corklift/control/program.py
+++ b/corklift/control/program.py
@@ -117,6 +117,7 @@
         named = {entry.name for entry in content.entries}
         left = {entry.name for entry in content.entries if entry.status is not Status.READY}
         gone = {entry.name for entry in content.entries if entry.status is Status.GONE}
+        marked = self._marked()
         if content.whole:
             gone |= self._states.keys() - named
         for entry in content.entries:
@@ -129,6 +130,8 @@
             self._known_at = now
             self.lines.say("list known", servers=len(self._places))
         changed = self.weights.left(left | gone)
+        if self._marked() != marked:
+            changed = list(self.weights.told)
         if changed and self.views.known:
             self.counters["views changed by drains"] += 1
             self.views.changed(now, {Kind.ENDPOINTS: self._endpoints(changed)}, urgent=True)
@@ -162,15 +165,19 @@
             self.views.changed(now, {Kind.ENDPOINTS: self._endpoints(changed)})
 
     def _endpoints(self, workloads: list[str]) -> dict[str, Resource]:
-        table = dict(self.views._view[Kind.ENDPOINTS])
-        draining = [place for place in self._places.values() if place.draining]
-        if self.config.table.draining == "remove":
-            draining = []
+        table = dict(self.views.table(Kind.ENDPOINTS))
+        draining = self._marked()
         for workload in workloads:
             told = self.weights.told.get(workload, Told({}, 0))
             table[workload] = resources.endpoints(workload, told, self._places, draining, self.config.stale_after)
         return table
 
+    def _marked(self) -> list[Place]:
+        """The draining servers that proxies are shown as such, by name; none where they are to leave the views."""
+        if self.config.table.draining == "remove":
+            return []
+        return sorted(place for place in self._places.values() if place.draining)
+
     def _all_tables(self) -> dict[Kind, dict[str, Resource]]:
         names = [workload.name for workload in self.config.workloads]
         connect_time = self.config.net.connect_time
--- a/corklift/control/views.py
+++ b/corklift/control/views.py
@@ -297,6 +297,10 @@
                        for name, resource in self._scope(stream, subscription).items())
                 or any(name not in self._scope(stream, subscription) for name in subscription.accepted)]
 
+    def table(self, kind: Kind) -> Table:
+        """What is in force of this kind, by name."""
+        return self._view[kind]
+
     def version(self, kind: Kind) -> str:
         return self._versions[kind]
 
