--- a/corklift/control/config.py
+++ b/corklift/control/config.py
@@ -55,6 +55,7 @@
 class WeightsTable(_Table):
     every_ms: Annotated[int, Meta(ge=50, le=60_000)] = 1000
     dead_band: Part = 0.02
+    log: bool = False
 
 
 class FreshnessTable(_Table):
--- a/corklift/control/program.py
+++ b/corklift/control/program.py
@@ -155,6 +155,8 @@
         for workload in self.config.workloads:
             if self.weights.due(now, workload.name):
                 chances = self.facade.chances(workload.name, self.config.span)
+                if self.config.table.weights.log:
+                    self.lines.say("weighed", workload=workload.name, chances={n: round(c, 6) for n, c in chances.items()})
                 if self.weights.weighed(now, workload.name, {n: c for n, c in chances.items() if n in self._places}, ready):
                     changed.append(workload.name)
         if not self.views.known:
--- a/corklift/control/views.py
+++ b/corklift/control/views.py
@@ -120,6 +120,7 @@
         self.node = ""
         self.kinds: dict[Kind, Subscription] = {}
         self.room = True  # the host can take a response
+        self.owed = False  # something may be owed that waits for room, an answer or another kind
         self.nonces = 0
 
 
@@ -181,7 +182,8 @@
         stream = self.streams.get(number)
         if stream is not None and not stream.room:
             stream.room = True
-            self._settle(now, stream)
+            if stream.owed:
+                self._settle(now, stream)
 
     def requested(self, now: int, number: int, kind: Kind, names: Collection[str], version: str, nonce: str,
                   problem: str | None) -> None:
@@ -204,6 +206,7 @@
         if len(names) > self.settings.names:
             raise TooMany(f"{len(names)} names of {kind.name.lower()}, {self.settings.names} are allowed")
         plain = set(names) - {EVERY}
+        same = not first and plain == subscription.names
         subscription.named = subscription.named or bool(plain)
         subscription.every = EVERY in names or (kind.whole and not names and not subscription.named)
         gone = subscription.names - plain
@@ -221,7 +224,8 @@
             subscription.sent_at = now
         elif first:
             subscription.accepted_version = version
-        self._settle(now, stream)
+        if not same or stream.owed or self._retired:
+            self._settle(now, stream)
 
     def requested_changes(self, now: int, number: int, kind: Kind, subscribe: Collection[str],
                           unsubscribe: Collection[str], had: Mapping[str, str], nonce: str,
@@ -263,7 +267,8 @@
                     subscription.accepted.pop(name, None)
         if first and self.known:
             self._match(stream, subscription)
-        self._settle(now, stream)
+        if first or subscribe or unsubscribe or stream.owed or self._retired:
+            self._settle(now, stream)
 
     def tick(self, now: int) -> None:
         """What is due by time alone; called a few times a second."""
@@ -272,8 +277,7 @@
             del self._retired[name]
         for stream in list(self.streams.values()):
             subscription = stream.kinds.get(Kind.ENDPOINTS)
-            waits = any(s.open or s.held_since is not None for s in stream.kinds.values())
-            if expired or waits or (subscription is not None and self._stale(now, subscription)):
+            if expired or stream.owed or (subscription is not None and self._stale(now, subscription)):
                 self._settle(now, stream)
 
     # What is asked
@@ -382,20 +386,24 @@
         """Sends what is owed, in order, as long as the host takes it."""
         if not self.known:
             return
+        owed, stream.owed = stream.owed and only is not None, False
         for kind in (Kind if only is None else (only,)):
             if not stream.room:
-                return
+                owed = True
+                break
             subscription = stream.kinds.get(kind)
             if subscription is None:
                 continue
             if subscription.foreign:
                 self._match(stream, subscription)
-            self._send_owed(now, stream, subscription)
+            owed = self._send_owed(now, stream, subscription) or owed
+        stream.owed = owed
 
-    def _send_owed(self, now: int, stream: Stream, subscription: Subscription) -> None:
+    def _send_owed(self, now: int, stream: Stream, subscription: Subscription) -> bool:
+        """Returns whether something is owed that must wait."""
         if subscription.every and not self._retired and not stream.incremental and subscription.answered \
                 and subscription.sent_version == self._versions[subscription.kind] and not self._stale(now, subscription):
-            return  # Guards against a walk over all resources for each of many streams
+            return False  # Guards against a walk over all resources for each of many streams
         scope = self._scope(stream, subscription)
         changed = [resource for name, resource in scope.items() if subscription.sent.get(name) != resource]
         gone = [name for name, held in subscription.sent.items() if held is not None and name not in scope]
@@ -412,9 +420,9 @@
         heartbeat = not owed and subscription.kind is Kind.ENDPOINTS and self._stale(now, subscription) and bool(scope)
         if not owed and not heartbeat:
             subscription.urgent, subscription.held_since = False, None
-            return
+            return False
         if owed and not subscription.urgent and self._must_wait(now, stream, subscription, changed):
-            return
+            return True
         if heartbeat or (subscription.replaces):
             changed = list(scope.values())
         elif subscription.again:
@@ -423,6 +431,7 @@
             changed += [scope[name] for name in sorted(subscription.again - told) if name in scope]
             gone += [name for name in sorted(subscription.again - set(gone)) if name not in scope]
         self._send(now, stream, subscription, changed, gone, scope, heartbeat and self.settings.heartbeats)
+        return False
 
     def _must_wait(self, now: int, stream: Stream, subscription: Subscription, changed: list[Resource]) -> bool:
         if subscription.open and now - subscription.sent_at < self.settings.ack_wait:
--- a/corklift/net/stream.py
+++ b/corklift/net/stream.py
@@ -9,12 +9,20 @@
 import errno
 import socket
 import struct
-
-from corklift.net.limits import Limits
+from typing import Protocol
 
 ABORT = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
 
 
+class Sizes(Protocol):
+    """What a stream takes of its program's limits."""
+
+    @property
+    def line(self) -> int: ...  # bytes of a line, its end included
+    @property
+    def ring(self) -> int: ...  # bytes of a ring buffer
+
+
 class OverLong(Exception):
     """A line longer than the limit."""
 
@@ -87,7 +95,7 @@
 class Stream:
     open_now = 0  # sockets of this process
 
-    def __init__(self, sock: socket.socket, limits: Limits) -> None:
+    def __init__(self, sock: socket.socket, limits: Sizes) -> None:
         sock.setblocking(False)
         self._sock = sock
         self.fd = sock.fileno()
@@ -102,7 +110,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     @classmethod
-    def connect(cls, address: tuple[str, int], limits: Limits) -> Stream:
+    def connect(cls, address: tuple[str, int], limits: Sizes) -> Stream:
         """Begins to connect; writable when it stands, or `failed` tells why not."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         stream = cls(sock, limits)
--- a/corklift/rpc/link.py
+++ b/corklift/rpc/link.py
@@ -85,7 +85,7 @@
         """The next message if one has come; never blocks."""
         message = self._link.session.take_message(self._call)
         if message is not None:
-            self._link.wake()  # the window has opened
+            self._link.push()  # the window has opened
         return message
 
     def receive(self, until: int | None = None) -> bytes | None:
@@ -107,7 +107,7 @@
     def post(self, message: bytes) -> None:
         """Queues a message without waiting for it to leave; the queue is bounded."""
         self._link.session.send(self._scheduler.now(), self._call, message)
-        self._link.wake()
+        self._link.push()
 
     def send(self, message: bytes) -> None:
         """Queues a message and blocks until the peer's window has let all of it go."""
@@ -166,6 +166,17 @@
         self.session.finish(self.scheduler.now(), call, problem)
         self.wake()
 
+    def push(self) -> None:
+        """Something is to be sent: what the socket takes goes at once, the rest as it takes more."""
+        if not self.over and not self._stream.closed:
+            self._write()
+        self.wake_if_left()
+
+    def wake_if_left(self) -> None:
+        # A task that waits for reading alone would not see that there is something to write.
+        if len(self._stream.outbox) or self.session.has_bytes or self.session.waiting or self._stream.broken:
+            self.wake()
+
     def wake(self) -> None:
         if self._task is not None and not self.over:
             self.scheduler.wake(self._task)
--- a/corklift/standins/proxy.py
+++ b/corklift/standins/proxy.py
@@ -210,6 +210,8 @@
         self.held = Held(node, habits)
         self.channel = Channel(scheduler, limits, counters, address, rng)
         self.connected = False
+        self.connected_at = 0
+        self.view_changed: Callable[[Proxy, set[str], set[str]], None] | None = None  # servers before and after
         self.placing = 0
         self._fresh_at: dict[str, int] = {}
         self._issued: Counter[tuple[str, str]] = Counter()  # by cluster and server, since the last report
@@ -241,7 +243,8 @@
     def _keep_dropping(self) -> None:
         while not self.stopped:
             self._scheduler.sleep(int(self.habits.drops_every * self._rng.uniform(0.5, 1.5)))
-            self.channel.drop()
+            if self.habits.drops_every < 3600 * SECOND:  # it may have been told to stop doing so
+                self.channel.drop()
 
     def _follow(self) -> None:
         path = ADS + ("DeltaAggregatedResources" if self.habits.incremental else "StreamAggregatedResources")
@@ -252,14 +255,23 @@
             message = call.receive()
             if message is None:
                 return
-            self.connected = True
+            if not self.connected:
+                self.connected, self.connected_at = True, self._scheduler.now()
+            before = self._names() if self.view_changed else set()
             for answer in self.held.came(message):
                 call.post(answer)
+            if self.view_changed and (after := self._names()) != before:
+                self.view_changed(self, before, after)
             for cluster in self.held.resources[EDS]:
                 self._fresh_at[cluster] = self._scheduler.now()
             if self.habits.reads_every:
                 self._scheduler.sleep(self.habits.reads_every)
 
+    def _names(self) -> set[str]:
+        """All servers that it may draw."""
+        found = [self.held.servers(cluster) for cluster in self.held.resources[EDS]]
+        return {name for held in found if held is not None for name in held.names}
+
     # Placing
 
     def draw(self, cluster: str) -> tuple[str, tuple[str, int]] | None:
