New addresses and restarts are told at once; status, reports and lines are bounded

A read of the finished control service as one who wants to break it: a server listed at a new address was told only when weights changed, one that started anew kept its warm share for up to a turn, a status of thousands of proxies ran in one go before any drain, one report could name any number of servers, refusals could log without bound. Each is mended; tests play the first two and the reports.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -5,7 +5,6 @@
 import gc
 import json
 import os
-import resource
 import signal
 import socket
 import sys
@@ -15,7 +14,7 @@
 
 from corklift.interface import NoteKind, Scope
 from corklift.net.facade import Facade
-from corklift.net.limits import MS, BadConfig, Counters, Limits, Printer, need
+from corklift.net.limits import MS, BadConfig, Counters, Limits, Printer, allow_sockets, need
 from corklift.net.parsers import Listing, Malformed, listing
 from corklift.net.relay import Relay
 from corklift.net.scheduler import WRITE, Scheduler, wall_clock
@@ -92,7 +91,7 @@
         connect_time = need(allow, "connect-timeout-ns", int, "settings.permissions.")
         longest = max(workload.time_limit for workload in arguments["workloads"])
         given = need(config, "limits", dict)
-        given = given | {"sockets": _allow_sockets(need(given, "sockets", int, "limits."))}
+        given = given | {"sockets": allow_sockets(need(given, "sockets", int, "limits."))}
         try:
             limits = Limits.of(given, connect_time, len(known.entries), longest)
         except OverflowError:
@@ -216,19 +215,6 @@
                 self.printer.print_one()
 
 
-def _allow_sockets(wanted: int) -> int:
-    """Lets this process hold so many descriptors, as far as the system does; returns how many it may."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft < wanted:
-        may = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
-        try:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (may, hard))
-            soft = may
-        except (ValueError, OSError, OverflowError):
-            pass  # the system says no: what it allows already has to do
-    return min(wanted, soft)
-
-
 def main() -> int:
     """The balancer, unless a command is given: only then is the command line imported."""
     if len(sys.argv) > 1:
--- a/corklift/control/program.py
+++ b/corklift/control/program.py
@@ -24,7 +24,7 @@
 from corklift.control.weights import Told, Weights
 from corklift.interface import Scope, Status
 from corklift.net.facade import Facade
-from corklift.net.limits import MS, SECOND, Counters, Printer
+from corklift.net.limits import MS, SECOND, Counters, Printer, allow_sockets
 from corklift.net.parsers import Listing
 from corklift.net.scheduler import WRITE, Scheduler, wall_clock
 from corklift.net.upkeep import Probes, Watch
@@ -32,24 +32,31 @@
 
 TURN = 50 * MS  # between two looks at what is due
 READY_TIME = 1500 * MS  # after the first list, for a first count of each server; then the view stands without
+STANDARD_FILES = 32  # descriptors beside those for proxies and probes
 KEPT_FOR = 30 * SECOND  # a connection for probes idles so long
 
 
 class Lines:
     """JSON lines on standard error, by structlog; they wait in a short queue, never for whoever reads them."""
 
-    MOST = 1000
+    MOST = 1000  # that wait
+    A_SECOND = 100
 
     def __init__(self, scheduler: Scheduler, counters: Counters) -> None:
         self._scheduler, self._counters = scheduler, counters
         self._queue: deque[str] = deque()
         self._task: Any = None
+        self._second, self._left = 0, self.A_SECOND
         self._log = structlog.wrap_logger(
             self, processors=[structlog.processors.TimeStamper(fmt="iso"), structlog.processors.JSONRenderer()])
 
     def msg(self, line: str) -> None:
         """What structlog hands a line to."""
-        if len(self._queue) >= self.MOST:
+        second = self._scheduler.now() // SECOND
+        if second != self._second:
+            self._second, self._left = second, self.A_SECOND
+        self._left -= 1
+        if len(self._queue) >= self.MOST or self._left < 0:
             self._counters["log lines dropped"] += 1
             return
         self._queue.append(line)
@@ -91,6 +98,7 @@
         self.weights = Weights(config.weights)
         self._places: dict[str, Place] = {}  # all that the list has, by name
         self._states: dict[str, Status] = {}
+        self._started: dict[str, int] = {}
         self._known_at: int | None = None  # when the first list came
         self.service = Service(scheduler, self.counters, lambda host: Views(host, config.views),
                                self.facade_placed, self.lines.say, ttl=config.ttl,
@@ -118,18 +126,24 @@
         left = {entry.name for entry in content.entries if entry.status is not Status.READY}
         gone = {entry.name for entry in content.entries if entry.status is Status.GONE}
         marked = self._marked()
+        # One that started anew is out until it is weighed as cold; one at another address is told at once.
+        anew = {entry.name for entry in content.entries if entry.started_at > self._started.get(entry.name, entry.started_at)}
+        moved = {entry.name for entry in content.entries
+                 if entry.name in self._places and self._places[entry.name].address != entry.address}
         if content.whole:
             gone |= self._states.keys() - named
         for entry in content.entries:
             self._states[entry.name] = entry.status
+            self._started[entry.name] = entry.started_at
             self._places[entry.name] = Place(entry.name, entry.address, entry.zone, entry.status is Status.DRAINING)
         for name in gone:
-            self._states.pop(name, None)
-            self._places.pop(name, None)
+            for held in (self._states, self._places, self._started):
+                held.pop(name, None)
         if self._known_at is None:
             self._known_at = now
             self.lines.say("list known", servers=len(self._places))
-        changed = self.weights.left(left | gone)
+        changed = self.weights.left(left | gone | anew)
+        changed += [name for name, told in self.weights.told.items() if name not in changed and moved & told.weights.keys()]
         if self._marked() != marked:
             changed = list(self.weights.told)
         if changed and self.views.known:
@@ -278,7 +292,12 @@
 
 def main(path: str) -> int:
     try:
-        program = Program(read(path), path)
+        config = read(path)
+        wanted = config.rpc.connections + config.net.probes + STANDARD_FILES
+        allowed = allow_sockets(wanted)
+        program = Program(config, path)
+        if allowed < wanted:
+            program.lines.say("fewer descriptors than the limits ask for", allowed=allowed, wanted=wanted)
     except BadConfig as problem:
         print(f"corklift: {problem}", file=sys.stderr)
         return 2
--- a/corklift/control/service.py
+++ b/corklift/control/service.py
@@ -25,6 +25,8 @@
 ADS = "/envoy.service.discovery.v3.AggregatedDiscoveryService/"
 LRS = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
 CSDS = "/envoy.service.status.v3.ClientStatusDiscoveryService/"
+STATUS_TURN = 25  # proxies looked at in one go
+MOST_COUNTED = 5_000  # servers in one report
 MOST_PLACED = 1_000_000  # logins on one server in one report: more is no count
 STATES = {"accepted": dump_pb2.ACKED, "refused": dump_pb2.NACKED, "sent": dump_pb2.REQUESTED,
           "missing": dump_pb2.DOES_NOT_EXIST}
@@ -125,6 +127,8 @@
                     answer = lrs_pb2.LoadStatsResponse(send_all_clusters=True)
                     answer.load_reporting_interval.FromNanoseconds(self.report_every)
                     call.post(answer.SerializeToString())
+                if sum(len(stats.upstream_locality_stats) for stats in request.cluster_stats) > MOST_COUNTED:
+                    raise BadRequest(f"a report of more than {MOST_COUNTED} servers")
                 for stats in request.cluster_stats:
                     self._take_report(stats)
             raise RpcError(Code.UNAVAILABLE, "this control service goes away")
@@ -168,7 +172,11 @@
         if any(not matcher.exact and not matcher.prefix and not matcher.suffix and not matcher.contains for matcher in wanted):
             raise RpcError(Code.UNIMPLEMENTED, "nodes are matched by exact, prefix, suffix or contains")
         answer = csds_pb2.ClientStatusResponse()
-        for stream in sorted(self.views.streams.values(), key=lambda stream: (stream.node, stream.number)):
+        for at, stream in enumerate(sorted(self.views.streams.values(), key=lambda stream: (stream.node, stream.number))):
+            if at % STATUS_TURN == STATUS_TURN - 1:
+                self._scheduler.wait({}, self._scheduler.now())  # a drain may be waiting
+            if stream.number not in self.views.streams:
+                continue
             if wanted and not any(_matches(matcher, stream.node) for matcher in wanted):
                 continue
             config = answer.config.add()
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import resource
 import sys
 from collections import Counter, deque
 from collections.abc import Callable
@@ -96,6 +97,19 @@
                    body=min(cls.body, int(memory * (1 << 20)) // 64))
 
 
+def allow_sockets(wanted: int) -> int:
+    """Lets this process hold so many descriptors, as far as the system does; returns how many it may."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < wanted:
+        may = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (may, hard))
+            soft = may
+        except (ValueError, OSError, OverflowError):
+            pass  # the system says no: what it allows already has to do
+    return min(wanted, soft)
+
+
 class Counters(Counter[str]):
     """What is taken in, sent and answered, by name."""
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections import Counter
 from pathlib import Path
@@ -17,7 +18,7 @@
 from loop import wait_for
 
 from corklift.control.config import BadConfig, parse
-from corklift.control.service import ADS
+from corklift.control.service import ADS, LRS
 from corklift.control.status import fetch, rows
 from corklift.control.views import Kind
 from corklift.control.weights import WHOLE, Settings, Weights
@@ -332,6 +333,47 @@
         assert fleet.do(lambda: proxy.draw("plain")) is None and fleet.counters["draws from a stale view"] == 1
 
 
+def test_a_server_at_a_new_address_is_told_at_once_and_one_that_started_anew_is_out_until_weighed():
+    with Fleet() as fleet:
+        fleet.list_all()
+        service = fleet.service("", "[weights]\nevery_ms = 3000\ndead_band = 1.0\n[cold]\nramp_ms = 60000")
+        proxy = fleet.proxy(service)
+        fleet.holds(proxy, *ALL)
+        other = fleet.servers["s2"].port
+        fleet.do(lambda: fleet.discovery.put("s1", ("127.0.0.1", other)))
+        wait_for(lambda: [a for n, a in zip(*proxy.held.servers("plain")[:2]) if n == "s1"] == [("127.0.0.1", other)], 0.5)
+        fleet.do(lambda: fleet.discovery.put("s3", ("127.0.0.1", fleet.servers["s3"].port),
+                                             since_ms=fleet.scheduler.now() // MS))
+        wait_for(lambda: set(fleet.weights(proxy)) == {"s1", "s2"}, 0.5)
+        fleet.holds(proxy, *ALL)
+        assert fleet.weights(proxy)["s3"] < WHOLE / 5  # cold: no more than it bears
+
+
+def test_a_load_report_without_measure_ends_its_stream_and_unknown_servers_count_for_nothing():
+    from envoy.service.load_stats.v3 import lrs_pb2
+    with Fleet() as fleet:
+        fleet.list_all()
+        service = fleet.service()
+        fleet.holds(fleet.proxy(service), *ALL)
+        with grpc.insecure_channel(f"127.0.0.1:{service.port}") as channel:
+            for number, code in ((6000, grpc.StatusCode.INVALID_ARGUMENT), (1, grpc.StatusCode.DEADLINE_EXCEEDED)):
+                report = lrs_pb2.LoadStatsRequest()
+                stats = report.cluster_stats.add(cluster_name="plain")
+                for at in range(number):
+                    stats.upstream_locality_stats.add(total_issued_requests=1 << 60).locality.sub_zone = f"x{at}"
+                    stats.upstream_locality_stats.add(total_issued_requests=5).locality.sub_zone = "never listed"
+                talk = threading.Event()
+
+                def say(content=report.SerializeToString(), talk=talk):
+                    yield content
+                    talk.wait(5)
+                with pytest.raises(grpc.RpcError) as problem:
+                    list(channel.stream_stream(LRS, **SAME)(say(), timeout=0.7))
+                talk.set()
+                assert problem.value.code() is code
+        assert "exceptions" not in service.program.counters and fleet.weights(fleet.proxies[0])
+
+
 def test_draining_servers_are_marked_where_that_is_wanted():
     with Fleet() as fleet:
         fleet.list_all()
