--- a/corklift/cli.py
+++ b/corklift/cli.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import sys
+from typing import Any
 
 import click
 
@@ -60,3 +61,125 @@
 def status(address: tuple[str, int], node: str, as_json: bool) -> None:
     from corklift.control.status import main as tell
     sys.exit(tell(address, node, as_json))
+
+
+@main.group(help="The lab: fleets in virtual time, experiments, exploration. See docs/operate/lab.md.")
+def lab() -> None:
+    pass
+
+
+def _experiment(path: str) -> Any:
+    from corklift.lab.experiment import load
+    from corklift.lab.scenario import BadScenario
+    try:
+        return load(path)
+    except BadScenario as problem:
+        raise click.ClickException(f"{path}: {problem}") from None
+    except OSError as problem:
+        raise click.ClickException(str(problem)) from None
+
+
+def _table(results: list[dict[str, Any]]) -> None:
+    for found in results:
+        changes = " ".join(f"{key}={value}" for key, value in found["varied"].items())
+        rules = " ".join(f"rule {rule}: {number}" for rule, number in found["rules"].items()) or "rules kept"
+        click.echo(f"{found['policy']:18} seed {found['seed']:<4} service {found['service']:.4f}  {rules}  {changes}")
+
+
+@lab.command("run", help="Plays an experiment; lines go to --out, where an interrupted one goes on.")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--out", type=click.Path(dir_okay=False), help="JSON lines; FILE.jsonl by default.")
+@click.option("--processes", type=click.IntRange(1, 64), default=4, show_default=True)
+def lab_run(file: str, out: str | None, processes: int) -> None:
+    from corklift.lab.experiment import carry_out
+    given = _experiment(file)
+    try:
+        for result in carry_out(given, out or f"{file}.jsonl", processes):
+            _table([result])
+    except ValueError as problem:
+        raise click.ClickException(str(problem)) from None
+
+
+@lab.command(help="Differences between policies, pair by pair, with 95 % intervals.")
+@click.argument("results", type=click.Path(exists=True, dir_okay=False))
+@click.option("--against", default="module", show_default=True)
+@click.option("--figure", type=click.Choice(["service", "answers", "on_time"]), default="service", show_default=True)
+def compare(results: str, against: str, figure: str) -> None:
+    from corklift.lab.experiment import differences, read
+    _, found = read(results)
+    for row in sorted(differences(found, against, figure), key=lambda row: -row.mean):
+        click.echo(f"{row.policy:18} {row.mean:+.4f}  ({row.low:+.4f} to {row.high:+.4f}, {row.pairs} pairs)")
+
+
+@lab.command(help="The runs in which a policy does worst against the one that sees the true state.")
+@click.argument("results", type=click.Path(exists=True, dir_okay=False))
+@click.option("--policy", default="module", show_default=True)
+@click.option("--most", type=click.IntRange(1, 1000), default=5, show_default=True)
+def sweep(results: str, policy: str, most: int) -> None:
+    from corklift.lab.experiment import read
+    _, found = read(results)
+    mark = {(run["seed"], str(run["varied"])): run["service"] for run in found if run["policy"] == "true state"}
+    mine = [(run["service"] - mark.get((run["seed"], str(run["varied"])), run["service"]), run)
+            for run in found if run["policy"] == policy]
+    for apart, run in sorted(mine, key=lambda pair: pair[0])[:most]:
+        click.echo(f"{apart:+.4f} ", nl=False)
+        _table([run])
+
+
+@lab.command(help="One HTML page with plots.")
+@click.argument("results", type=click.Path(exists=True, dir_okay=False))
+@click.option("--out", type=click.Path(dir_okay=False), default="report.html", show_default=True)
+def report(results: str, out: str) -> None:
+    from corklift.lab.experiment import commit, read
+    from corklift.lab.report import page
+    given, found = read(results)
+    with open(out, "w", encoding="utf-8") as file:
+        file.write(page(given, found, commit()))
+    click.echo(f"{out}: {len(found)} runs")
+
+
+@lab.command(help="Every order of events in a small world of the decision module, to a depth; then random walks.")
+@click.option("--depth", type=click.IntRange(1, 40), default=5, show_default=True)
+@click.option("--states", type=click.IntRange(10, 10_000_000), default=20_000, show_default=True)
+@click.option("--walks", type=click.IntRange(0, 10_000_000), default=500, show_default=True)
+@click.option("--balancers", type=click.IntRange(1, 2), default=1, show_default=True)
+@click.option("--servers", type=click.IntRange(2, 3), default=2, show_default=True)
+@click.option("--effect", type=click.Choice(["repeatable", "tagged", "once-only"]), default="repeatable", show_default=True)
+@click.option("--out", type=click.Path(dir_okay=False), help="Where a counterexample goes.")
+def explore(depth: int, states: int, walks: int, balancers: int, servers: int, effect: str, out: str | None) -> None:
+    from corklift.lab import explore as lab_explore
+    shape = lab_explore.Small(balancers=balancers, servers=servers, effect=effect)
+    make = lambda: lab_explore.Placing(shape)  # noqa: E731
+    found = lab_explore.explore(make, depth, states)
+    click.echo(f"{found.states} states to depth {found.depth}, {found.steps} events played"
+               + ("" if found.complete else ", not all orders"))
+    if not found.what and walks:
+        found = lab_explore.wander(make, walks, 60, 1)
+        click.echo(f"{walks} walks, {found.steps} events played")
+    if found.what:
+        click.echo(found.what + "\n" + "\n".join(found.trace))
+        if out:
+            with open(out, "w", encoding="utf-8") as file:
+                file.write(lab_explore.written("placing", shape, found))
+        sys.exit(1)
+
+
+@lab.command(help="Plays a counterexample that `explore --out` wrote.")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+def replay(file: str) -> None:
+    import json
+
+    from corklift.lab import explore as lab_explore
+    with open(file, encoding="utf-8") as content:
+        given = json.load(content)
+    world = lab_explore.Placing(lab_explore.Small(**given["shape"]))
+    for label in given["path"]:
+        if label not in world.enabled():
+            click.echo(f"passed over: {label}")
+            continue
+        world.play(label)
+        if world.broken():
+            break
+    click.echo("\n".join(world.trace()))
+    click.echo(world.broken() or "nothing is broken")
+    sys.exit(1 if world.broken() else 0)
--- a/corklift/lab/fleet.py
+++ b/corklift/lab/fleet.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from math import exp
 from random import Random
 from typing import Any
 
@@ -21,6 +22,8 @@
 SLACK = 30 * MS  # after a time limit, for an answer on its way
 RETRY_MOST = 1500 * MS  # a refused client is told to come back within this
 BACK_OFF = 500 * MS  # a client's own first wait; doubled each time
+UNPROBED = 8 * SECOND  # a balancer that probes all leaves no ready server alone for so long
+SPLIT = 3.0  # times the servers that a group's load needs: beyond it groups are not kept together
 LOST_MOVES = 3 * SECOND  # over which a planned restart moves its clients
 
 Spoil = Callable[["Seat", Any], Any]  # a deliberate fault: wraps the policy that a seat drives
@@ -96,13 +99,15 @@
         self.ways: dict[int, Way] = {}
         self.policy: Any = None
         self.known: dict[int, Listed] = {}
+        self.probed_at: dict[int, int] = {}
+        self.started_at = 0
         self.revision = 0
 
     def start(self) -> None:
         fleet = self.fleet
         self.turn += 1
-        self.alive, self.ways = True, {}
-        self.known = {}
+        self.alive, self.ways, self.started_at = True, {}, fleet.clock.now
+        self.known, self.probed_at = {}, {}
         self.policy = fleet.make(self)
         turn = self.turn
         fleet.clock.after(10 * MS, lambda: self.turn == turn and self.take_list(fleet.lines(), True))
@@ -175,6 +180,7 @@
             self.fleet.end(way.conn, Outcome.CANCELLED, again=True)
 
     def probe(self, server: int) -> None:
+        self.probed_at[server] = self.fleet.clock.now
         self.fleet.probe(self, server)
 
     def close_idle(self, server: int) -> None:
@@ -255,6 +261,39 @@
         self.clock.run(end)
         self.rules.overdue(end, SLACK)
 
+    def design_breaks(self) -> dict[str, str]:
+        """Beside the four rules, what the design promises: servers are probed, counts come off, groups stay together."""
+        found = {}
+        now = self.clock.now
+        for seat in self.seats:
+            if not seat.alive or now - seat.started_at < UNPROBED:
+                continue
+            some_only = getattr(getattr(seat.policy, "_counts", None), "some_only", True)
+            for line in seat.known.values():
+                heard = seat.probed_at.get(line.server, seat.started_at)
+                if not some_only and line.status is Status.READY and now - max(heard, line.started_at) > UNPROBED:
+                    found["probing"] = f"balancer {seat.number} has not probed server {line.server} for {(now - heard) / SECOND:.1f} s"
+            held = getattr(seat.policy, "_held", None)
+            if held is not None and len(held) > len(seat.ways) + 5 + 0.05 * len(seat.ways):
+                found["counts"] = f"balancer {seat.number} counts {len(held)} connections, {len(seat.ways)} stand"
+        spread = self.group_spread()
+        if spread > SPLIT:
+            found["groups"] = f"a group's connections stand on {spread:.1f} times the servers that its load needs"
+        return found
+
+    def group_spread(self) -> float:
+        """On how many times the servers that its load needs a group stands, the mean over groups; 0 without groups."""
+        where: dict[int, set[int]] = {}
+        load: Counter[int] = Counter()
+        for box in self.boxes.values():
+            for conn in box.conns.values():
+                if conn.wish.group:
+                    where.setdefault(conn.wish.group, set()).add(box.number)
+                    load[conn.wish.group] += 1
+        whole = sum(load.values())
+        shares = [len(where[group]) / (1.0 + load[group] / whole * len(self.boxes)) for group in where if load[group] >= 5]
+        return sum(shares) / len(shares) if shares else 0.0
+
     # What is true
 
     def _truth(self, server: int) -> float:
@@ -662,7 +701,7 @@
     def _sample(self) -> None:
         now = self.clock.now
         self.clock.after(SAMPLE, self._sample)
-        pressures = []
+        pressures, given = [], self.scenario.servers
         for box in self.boxes.values():
             wander = max((w.wander for w in self.scenario.workloads), default=0.0)
             box.wave += 0.25 * (1.0 - box.wave) + wander * 0.25 * self.rng.uniform(-1, 1)
@@ -670,9 +709,10 @@
             box.past = [held for held in box.past if held[0] > now - 10 * SECOND] + [(now, len(box.conns), pressure)]
             pressures.append(round(pressure, 4))
             if self._judged():
-                # Past all that it can do, a server's messages are late by what it is over.
+                # M/M/1: a message is late with chance exp(-(1 - load) * slack); past its capacity a server's queue
+                # grows, and all are.
                 self.conn_time += len(box.conns)
-                self.on_time += len(box.conns) * min(1.0, 1.0 / pressure if pressure > 0 else 1.0)
+                self.on_time += len(box.conns) * max(0.0, 1.0 - exp(-(1.0 - pressure) * given.message_slack))
         share = self._late_quality / self._late_worth if self._late_worth else 1.0
         self._late_quality = self._late_worth = 0.0
         self.samples.append((round((now - self.clock.began) / SECOND, 3), pressures, round(share, 4)))
--- a/corklift/lab/scenario.py
+++ b/corklift/lab/scenario.py
@@ -36,6 +36,7 @@
     zones: Count = 1
     cells: Count = 1
     cap: Annotated[float, Meta(gt=0, le=100)] = 1.6  # of its size: connections beyond it are turned down
+    message_slack: Positive = 20.0  # times a message's mean work that it may take on an open connection
     setup_ms: Positive = 20.0  # mean work of a set-up on an idle server
     start_share: Annotated[float, Meta(gt=0, le=1)] = 0.3
     ramp_ms: Whole = 8000
