--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,220 @@
+"""The lab: one seed one history, rules that catch faults, exploration that finds and cuts down, experiments that go on."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from corklift.cli import main
+from corklift.interface import Outcome, Status
+from corklift.lab import explore
+from corklift.lab.clock import MS, SECOND, Clock
+from corklift.lab.experiment import Run, carry_out, differences, interval, play, runs
+from corklift.lab.faults import FAULTS
+from corklift.lab.fleet import Fleet
+from corklift.lab.policies import POLICIES
+from corklift.lab.scenario import (KINDS, BadScenario, Balancers, Scenario, Servers, Trouble, WorkloadTable, experiment,
+                                   varied)
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT))
+from benchmarks.lab import FAULTY  # noqa: E402
+
+SMALL = Scenario(seconds=14.0, warm_s=1.0, standing=1.0, servers=Servers(number=6, zones=3, cells=2, size=30.0),
+                 balancers=Balancers(number=2), workloads=[WorkloadTable(name="w", rate=9.0, hold_s=8.0)])
+
+
+def troubled(*kinds, **options):
+    return SMALL.__class__(**{f: getattr(SMALL, f) for f in SMALL.__struct_fields__ if f != "troubles"},
+                           troubles=[Trouble(kind=kind, at_s=5.0, for_s=3.0, **options) for kind in kinds])
+
+
+def test_due_at_one_instant_runs_in_the_order_of_asking_and_the_past_is_now():
+    clock, seen = Clock(), []
+    clock.at(clock.now + 5, seen.append, "b")
+    clock.at(clock.now + 5, seen.append, "c")
+    clock.at(clock.now - 10 ** 9, seen.append, "a")
+    clock.at(clock.now + 5, lambda: clock.after(-7, seen.append, "d"))
+    clock.run(clock.now + 5)
+    assert seen == ["a", "b", "c", "d"] and clock.pending == 0
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_one_seed_is_one_history(policy):
+    scenario = troubled("release", "client drop", "balancer killed")
+    first, again, other = (play(scenario, Run(policy, seed, ()), False) for seed in (3, 3, 4))
+    assert first == again and first["history"] != other["history"]
+
+
+def test_one_seed_is_one_history_in_another_process():
+    code = ("from corklift.lab.fleet import Fleet\nfrom corklift.lab.scenario import Scenario\n"
+            "f = Fleet(Scenario(seconds=6.0), 'module', 9)\nf.run()\nprint(f.clock.history)")
+    told = {subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True,
+                           env={"PYTHONHASHSEED": str(seed), "PATH": ""}).stdout for seed in (1, 2)}
+    assert len(told) == 1
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_every_trouble_is_played_and_the_module_keeps_the_rules_in_it(kind):
+    calm, fleet = Fleet(SMALL, "module", 2), Fleet(troubled(kind, part=0.34), "module", 2)
+    calm.run()
+    fleet.run()
+    assert not fleet.rules.broken, fleet.rules.first
+    assert fleet.clock.history != calm.clock.history and fleet.tally["fulfilled"] > 60
+    assert 0.4 < fleet.service <= 1.0
+
+
+def test_troubles_in_the_tick_of_a_restart_and_a_day_cut_off_in_a_hand_off():
+    kinds = ("balancer killed", "balancer restart", "drain", "vanish", "list silent", "client drop")
+    for seconds in (5.0, 5.003, 8.0, 8.0001, 14.0):
+        table = {f: getattr(troubled(*kinds), f) for f in SMALL.__struct_fields__} | {"seconds": seconds}
+        fleet = Fleet(Scenario(**table), "module", 5)
+        fleet.run()
+        assert not fleet.rules.broken and fleet.clock.now - fleet.clock.began == int(seconds * SECOND)
+    assert fleet.rules.on_their_way <= fleet.standing + 5  # no login's state stays behind
+
+
+def test_without_faults_no_check_raises_an_alarm():
+    fleet = Fleet(FAULTY, "module", 1)
+    fleet.run()
+    assert not fleet.rules.broken and not fleet.design_breaks()
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_each_deliberate_fault_is_found_by_its_check(fault):
+    spoil, check = FAULTS[fault]
+    fleet = Fleet(FAULTY, "module", 1, spoil)
+    fleet.run()
+    assert check in {f"rule {rule}" for rule in fleet.rules.broken} | fleet.design_breaks().keys()
+    for found in fleet.rules.first.values():
+        assert found.what in found.trace[-1] and len(found.trace) <= 40
+
+
+class _Doubled:
+    """A module that answers again when a hand-off that was answered fails."""
+
+    def __init__(self, seat, policy):
+        self.seat, self.policy = seat, policy
+
+    def __getattr__(self, name):
+        return getattr(self.policy, name)
+
+    def hand_off_ended(self, now, login, closed, server, outcome, *rest):
+        self.policy.hand_off_ended(now, login, closed, server, outcome, *rest)
+        if closed and outcome is Outcome.CANCELLED:  # only where a drain has moved an open connection
+            self.seat.bounce(login, 0)
+
+
+def test_exploration_meets_every_order_and_finds_a_fault_that_needs_five_events():
+    clean = explore.explore(lambda: explore.Placing(explore.Small(restarts=0, losses=0, logins=1)), 5, 3000)
+    assert clean.complete and not clean.what and clean.states > 50
+    make = lambda: explore.Placing(explore.Small(restarts=0, losses=0, logins=1), _Doubled)  # noqa: E731
+    found = explore.explore(make, 7, 20_000)
+    assert found.what.startswith("rule 1")
+    assert [label.split()[0] for label in found.counterexample] == ["login", "login", "drain", "list", "move"]
+    for at in range(len(found.counterexample)):  # none of them can be left out
+        assert explore.breaks(make, found.counterexample[:at] + found.counterexample[at + 1:]) is None
+    walked = explore.wander(make, 500, 60, 1)
+    assert walked.what.startswith("rule 1") and len(walked.counterexample) == 5
+
+
+@pytest.mark.parametrize("shape", [explore.Small(), explore.Small(effect="once-only"), explore.Small(effect="tagged"),
+                                   explore.Small(balancers=2), explore.Small(servers=3, cold=True, part=0.9)])
+def test_the_module_keeps_the_rules_in_small_worlds(shape):
+    found = explore.explore(lambda: explore.Placing(shape), 4, 800)
+    walked = explore.wander(lambda: explore.Placing(shape), 60, 60, 7)
+    assert not found.what and not walked.what and found.states >= 100
+
+
+def test_equal_states_have_equal_digests_whatever_the_time():
+    one, other = (explore.Placing(explore.Small()) for _ in range(2))
+    for world, order in ((one, (1, 2)), (other, (2, 1))):
+        for server in order:
+            world.status[server] = Status.DRAINING
+            world._list(world.seats[0], [server], explore.Scope.DELTA)
+    assert explore.fingerprint({"at": one.now + 5}, one.now) == explore.fingerprint({"at": one.now + 50}, one.now + 45)
+    assert explore.fingerprint([1, 2], 0) != explore.fingerprint([2, 1], 0)
+
+
+GOOD = '[scenario]\nseconds = 20.0\n[[scenario.workloads]]\nname = "w"\n[[scenario.troubles]]\nkind = "drain"\nat_s = 3.0\n'
+
+
+@pytest.mark.parametrize("change, key", [
+    (("seconds = 20.0", "second = 20.0"), "second"), (("seconds = 20.0", "seconds = -1.0"), "scenario.seconds"),
+    (("seconds = 20.0", 'seconds = "20 s"'), "scenario.seconds"), (('"drain"', '"rain"'), "scenario.troubles[0].kind"),
+    (("at_s = 3.0", "at_s = 30.0"), "scenario.troubles[0].at_s"), (("at_s = 3.0", "at_s = 3.0\npart = 1.2"), "troubles[0].part"),
+    (('name = "w"', 'name = "w"\nsoft_limit_ms = 9000.0'), "workloads[0].soft_limit_ms"),
+    (('name = "w"', 'name = "w"\neffect = "twice"'), "workloads[0].effect"),
+    (("[scenario]\n", 'policies = ["best"]\n[scenario]\n'), "best"),
+    (("[scenario]\n", 'vary = { "servers.numbers" = [3] }\n[scenario]\n'), "vary.servers.numbers"),
+    (("[scenario]\n", 'vary = { "servers.number" = [0] }\n[scenario]\n'), "vary.servers.number"), (("[scenario]", "[scenario"), "TOML")])
+def test_a_wrong_key_unit_or_range_is_refused_by_its_name(change, key):
+    assert experiment(GOOD.encode()).scenario.seconds == 20.0
+    with pytest.raises(BadScenario) as problem:
+        experiment(GOOD.replace(*change).encode())
+    assert key in str(problem.value)
+
+
+def test_an_experiment_that_was_interrupted_goes_on_and_its_pairs_are_compared(tmp_path):
+    given = experiment(b'seeds = [1, 2]\npolicies = ["module", "random"]\nvary = { "servers.number" = [4, 6] }\n'
+                       b'[scenario]\nseconds = 4.0\nwarm_s = 0.5\n')
+    path = str(tmp_path / "out.jsonl")
+    assert len(list(runs(given))) == 8
+    whole = list(carry_out(given, path, 2))
+    lines = Path(path).read_text().splitlines(keepends=True)
+    assert len(lines) == 9
+    Path(path).write_text("".join(lines[:5]) + lines[5][:100])  # cut within a line
+    played = []
+    again = []
+    for result in carry_out(given, path, 1):
+        again.append(result)
+        played.append(result["key"])
+    assert sorted(json.dumps(r, sort_keys=True) for r in again) == sorted(json.dumps(r, sort_keys=True) for r in whole)
+    assert len(set(played)) == 8
+    (found,) = differences(whole, "module")
+    assert found.policy == "random" and found.pairs == 4 and found.low <= found.mean <= found.high
+    other = experiment(b"[scenario]\nseconds = 4.0\n")
+    with pytest.raises(ValueError, match="another experiment"):
+        list(carry_out(other, path, 1))
+    mean, low, high = interval([1.0, 2.0, 3.0])
+    assert mean == 2.0 and high - mean == pytest.approx(4.30 / 3 ** 0.5)
+
+
+def test_keys_are_varied_by_their_path():
+    assert varied(SMALL, "servers.number", 9).servers.number == 9
+    assert varied(SMALL, "workloads.0.rate", 2.5).workloads[0].rate == 2.5
+
+
+def test_the_commands_run_compare_report_and_replay(tmp_path):
+    file, out, page, trace = (str(tmp_path / name) for name in ("e.toml", "e.jsonl", "r.html", "c.json"))
+    Path(file).write_text('seeds = [1, 2]\npolicies = ["module", "inverse counts", "true state"]\n[scenario]\nseconds = 6.0\n'
+                          'warm_s = 1.0\nstanding = 1.0\n[[scenario.troubles]]\nkind = "release"\nat_s = 2.0\npart = 1.0\n')
+    runner = CliRunner()
+
+    def call(*words, code=0):
+        told = runner.invoke(main, ["lab", *words])
+        assert told.exit_code == code, told.output
+        return told.output
+    assert call("run", file, "--out", out, "--processes", "2").count("service") == 6
+    assert "inverse counts" in call("compare", out)
+    assert "module" in call("sweep", out)
+    call("report", out, "--out", page)
+    text = Path(page).read_text()
+    assert text.count("<img src=") >= 3 and "All simulated" in text
+    assert "states to depth 3" in call("explore", "--depth", "3", "--walks", "5")
+    make = lambda: explore.Placing(explore.Small(), _Doubled)  # noqa: E731
+    found = explore.wander(make, 500, 60, 1)
+    Path(trace).write_text(explore.written("placing", explore.Small(), found))
+    assert "nothing is broken" in call("replay", trace)  # the fault is not in the module
+    Path(file).write_text("[scenario]\nseconds = 0.0\n")
+    assert "scenario.seconds" in call("run", file, code=1)
+
+
+def test_a_large_fleet_holds_its_memory():
+    fleet = Fleet(Scenario(seconds=3.0, standing=1.0, servers=Servers(number=40, size=200.0), balancers=Balancers(number=20),
+                           workloads=[WorkloadTable(name="w", rate=500.0, hold_s=10.0)]), "random", 1)
+    fleet.run()
+    assert fleet.standing > 4000 and fleet.clock.pending < 3 * fleet.standing + 2000 and fleet.clock.now % MS == 0
