--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -94,6 +94,13 @@
         walked = explore.wander(make, 60 if given.quick else 5_000, 60, given.seed)
         states[name], depths[name] = found_.states, found_.depth
         examples += [one.what for one in (found_, walked) if one.what]
+    for name, shape_ in {"views": explore.Followed(), "views, incremental": explore.Followed(True)}.items():
+        make_ = lambda shape_=shape_: explore.Following(shape_)  # noqa: E731
+        found_ = explore.explore(make_, 7 if given.quick else 12, 1_500 if given.quick else 40_000)
+        walked = explore.wander(lambda shape_=shape_: explore.Following(shape_._replace(changes=8, refusals=2, losses=3)),
+                                60 if given.quick else 5_000, 60, given.seed)
+        states[name], depths[name] = found_.states, found_.depth
+        examples += [one.what for one in (found_, walked) if one.what]
     figures |= {"explored_states": states, "explored_depth": depths, "counterexamples": len(examples)}
     clean = Fleet(FAULTY, "module", given.seed)
     clean.run()
--- a/corklift/cli.py
+++ b/corklift/cli.py
@@ -138,7 +138,10 @@
     click.echo(f"{out}: {len(found)} runs")
 
 
-@lab.command(help="Every order of events in a small world of the decision module, to a depth; then random walks.")
+@lab.command(help="Every order of events in a small world, to a depth; then random walks.")
+@click.option("--world", type=click.Choice(["placing", "views"]), default="placing", show_default=True,
+              help="The decision module, or the control service's views with one proxy.")
+@click.option("--incremental", is_flag=True, help="Of views: that variant.")
 @click.option("--depth", type=click.IntRange(1, 40), default=5, show_default=True)
 @click.option("--states", type=click.IntRange(10, 10_000_000), default=20_000, show_default=True)
 @click.option("--walks", type=click.IntRange(0, 10_000_000), default=500, show_default=True)
@@ -146,10 +149,12 @@
 @click.option("--servers", type=click.IntRange(2, 3), default=2, show_default=True)
 @click.option("--effect", type=click.Choice(["repeatable", "tagged", "once-only"]), default="repeatable", show_default=True)
 @click.option("--out", type=click.Path(dir_okay=False), help="Where a counterexample goes.")
-def explore(depth: int, states: int, walks: int, balancers: int, servers: int, effect: str, out: str | None) -> None:
+def explore(world: str, incremental: bool, depth: int, states: int, walks: int, balancers: int, servers: int, effect: str,
+            out: str | None) -> None:
     from corklift.lab import explore as lab_explore
-    shape = lab_explore.Small(balancers=balancers, servers=servers, effect=effect)
-    make = lambda: lab_explore.Placing(shape)  # noqa: E731
+    shape = (lab_explore.Small(balancers=balancers, servers=servers, effect=effect) if world == "placing"
+             else lab_explore.Followed(incremental))
+    make = lambda: lab_explore.world(world, shape._asdict())  # noqa: E731
     found = lab_explore.explore(make, depth, states)
     click.echo(f"{found.states} states to depth {found.depth}, {found.steps} events played"
                + ("" if found.complete else ", not all orders"))
@@ -160,7 +165,7 @@
         click.echo(found.what + "\n" + "\n".join(found.trace))
         if out:
             with open(out, "w", encoding="utf-8") as file:
-                file.write(lab_explore.written("placing", shape, found))
+                file.write(lab_explore.written(world, shape, found))
         sys.exit(1)
 
 
@@ -172,7 +177,7 @@
     from corklift.lab import explore as lab_explore
     with open(file, encoding="utf-8") as content:
         given = json.load(content)
-    world = lab_explore.Placing(lab_explore.Small(**given["shape"]))
+    world = lab_explore.world(given["world"], given["shape"])
     for label in given["path"]:
         if label not in world.enabled():
             click.echo(f"passed over: {label}")
@@ -183,3 +188,31 @@
     click.echo("\n".join(world.trace()))
     click.echo(world.broken() or "nothing is broken")
     sys.exit(1 if world.broken() else 0)
+
+
+@lab.command(help="Balancers, stand-in transcribers and clients on loopback: placements a second, latency, limits.")
+@click.option("--balancers", type=click.IntRange(1, 16), default=1, show_default=True)
+@click.option("--servers", type=click.IntRange(1, 200), default=4, show_default=True)
+@click.option("--rate", type=click.FloatRange(1, 5000), default=100.0, show_default=True, help="Logins a second.")
+@click.option("--seconds", type=click.FloatRange(1, 600), default=8.0, show_default=True)
+@click.option("--hold", type=click.FloatRange(0.1, 600), default=5.0, show_default=True, help="Mean length of a connection, s.")
+@click.option("--sockets", type=click.IntRange(32, 20_000), default=4096, show_default=True, help="A balancer's limit.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def load(balancers: int, servers: int, rate: float, seconds: float, hold: float, sockets: int, seed: int,
+         as_json: bool) -> None:
+    import json
+
+    from corklift.lab.load import Load, Shape
+    try:
+        tool = Load(Shape(balancers, servers, rate, seconds, hold, sockets=sockets, seed=seed),
+                    (lambda text: None) if as_json else click.echo)
+    except ValueError as problem:
+        raise click.ClickException(str(problem)) from None
+    figures = tool.run()
+    if as_json:
+        click.echo(json.dumps(figures))
+    else:
+        for name, value in figures.items():
+            click.echo(f"{name:26} {value}")
+    sys.exit(0 if figures["balancers_alive"] and not tool.problems else 1)
--- a/corklift/lab/explore.py
+++ b/corklift/lab/explore.py
@@ -336,7 +336,7 @@
             out.append("}")
         elif isinstance(thing, (set, frozenset)):
             out.append(repr(sorted(map(repr, thing))))
-        elif isinstance(thing, (Random, _Seat, type)):
+        elif isinstance(thing, (Random, _Seat, Following, type)):
             out.append(type(thing).__name__)
         elif id(thing) in met:
             out.append(f"#{met[id(thing)]}")
@@ -464,3 +464,150 @@
 def written(kind: str, shape: NamedTuple, found: Found) -> str:
     """A counterexample as a file that `replay` plays."""
     return json.dumps({"world": kind, "shape": shape._asdict(), "path": found.counterexample, "what": found.what}, indent=1)
+
+
+class Followed(NamedTuple):
+    """A small world of views: one control service, one proxy."""
+
+    incremental: bool = False
+    changes: int = 3
+    refusals: int = 1
+    losses: int = 1
+
+
+class Following:
+    """The control service's views with one proxy that reads, accepts, refuses and breaks off whenever it likes."""
+
+    CLUSTERS = ("a", "b")
+
+    def __init__(self, shape: Followed) -> None:
+        from corklift.control.views import Kind, Resource, Settings, Views
+        self._kinds, self._resource = Kind, Resource
+        self.shape, self.now, self.steps = shape, SECOND, list[str]()
+        self.left = {"change": shape.changes, "refusal": shape.refusals, "loss": shape.losses}
+        self.views = Views(self, Settings(ack_wait=SECOND, hold_time=SECOND))
+        self.wrong: str | None = None
+        self.unread: list[Any] = []
+        self.unanswered: list[Any] = []
+        self.held: dict[Any, dict[str, str]] = {kind: {} for kind in Kind}  # the proxy's, by kind and name
+        self.refused: set[tuple[Any, str]] = set()  # kinds and versions
+        self.number, self.content = 0, 0
+        self._connect()
+
+    def send(self, stream: int, response: Any) -> None:
+        if not self.views.known:
+            self.wrong = "views: sent before the list is known"
+        if self.unread:
+            self.wrong = "views: sent to a stream that has no room"
+        self.unread.append(response)
+
+    def _names(self, kind: Any) -> tuple[str, ...]:
+        return {self._kinds.ENDPOINTS: self.CLUSTERS, self._kinds.ROUTES: ("door",)}.get(kind, ())
+
+    def _connect(self) -> None:
+        if self.number:
+            self.views.closed(self.number)
+        self.number += 1
+        self.unread, self.unanswered = [], []
+        self.views.opened(self.now, self.number, self.shape.incremental)
+        for kind in self._kinds:
+            if self.shape.incremental:
+                self.views.requested_changes(self.now, self.number, kind, self._names(kind), (), dict(self.held[kind]), "", None)
+            else:
+                self.views.requested(self.now, self.number, kind, self._names(kind), "", "", None)
+
+    def enabled(self) -> list[str]:
+        labels = ["time"]
+        if self.left["change"]:
+            labels += ["a server drains", "weights move", "only a is left", "all are there"]
+        if self.unread:
+            labels.append("read")
+        if self.unanswered:
+            labels.append("accept")
+            if self.left["refusal"]:
+                labels.append("refuse")
+        if self.left["loss"]:
+            labels.append("break off")
+        return labels
+
+    def play(self, label: str) -> None:
+        self.steps.append(label)
+        kinds = self._kinds
+        if label == "time":
+            self.now += SECOND
+            self.views.tick(self.now)
+        elif label == "read":
+            response = self.unread.pop(0)
+            self.unanswered.append(response)
+            self.views.room(self.now, self.number)
+        elif label in ("accept", "refuse"):
+            self._answer(self.unanswered.pop(0), label == "refuse")
+        elif label == "break off":
+            self.left["loss"] -= 1
+            self._connect()
+        else:
+            self.left["change"] -= 1
+            self.content += 1
+            names = ("a",) if label == "only a is left" else self.CLUSTERS
+            table = {name: self._resource.of(name, f"{name} {self.content}".encode()) for name in names}
+            if label in ("a server drains", "weights move"):
+                kept = set(self.views.table(kinds.CLUSTERS)) or set(names)
+                self.views.changed(self.now, {kinds.ENDPOINTS: {n: r for n, r in table.items() if n in kept}}
+                                   if self.views.known else self._all(names, table), urgent=label == "a server drains")
+                if label == "a server drains":
+                    self._drained()
+            else:
+                self.views.changed(self.now, self._all(names, table))
+
+    def _all(self, names: tuple[str, ...], endpoints: dict[str, Any]) -> dict[Any, dict[str, Any]]:
+        kinds, of = self._kinds, self._resource.of
+        return {kinds.CLUSTERS: {name: of(name, name.encode()) for name in names}, kinds.ENDPOINTS: endpoints,
+                kinds.LISTENERS: {"door": of("door", b"door")}, kinds.ROUTES: {"door": of("door", "+".join(names).encode(), names)}}
+
+    def _drained(self) -> None:
+        """A drain is on its way, or waits for room alone."""
+        subscription = self.views.streams[self.number].kinds[self._kinds.ENDPOINTS]
+        table = self.views.table(self._kinds.ENDPOINTS)
+        sent = all(subscription.sent.get(name) == resource for name, resource in table.items())
+        if not sent and not self.unread:
+            self.wrong = "views: a drain waits though there is room"
+
+    def _answer(self, response: Any, refuse: bool) -> None:
+        held = self.held[response.kind]
+        if refuse:
+            self.left["refusal"] -= 1
+            self.refused.add((response.kind, response.version))
+        else:
+            if response.kind.whole and not self.shape.incremental:
+                held.clear()
+            for name in response.removed:
+                held.pop(name, None)
+            held.update({resource.name: resource.version for resource in response.resources})
+        problem = "no" if refuse else None
+        if self.shape.incremental:
+            self.views.requested_changes(self.now, self.number, response.kind, (), (), {}, response.nonce, problem)
+        else:
+            self.views.requested(self.now, self.number, response.kind, self._names(response.kind),
+                                 response.version if not refuse else "", response.nonce, problem)
+
+    def broken(self) -> str | None:
+        if self.wrong:
+            return self.wrong
+        stream = self.views.streams[self.number]
+        if self.views.known and not self.unread and not self.unanswered and not stream.owed and not self.refused:
+            for kind in self._kinds:
+                for name, resource in self.views.table(kind).items():
+                    if stream.kinds[kind].wants(name) and self.held[kind].get(name) != resource.version:
+                        return f"views: nothing is owed, but the proxy has no {kind.name.lower()} {name} as in force"
+        return None
+
+    def state(self) -> object:
+        return [fingerprint(self.views, self.now), self.unread, self.unanswered, self.held, sorted(map(str, self.refused)), self.left]
+
+    def trace(self) -> list[str]:
+        return self.steps
+
+
+def world(kind: str, shape: dict[str, Any]) -> World:
+    """A small world by its name and shape, as a counterexample's file holds them."""
+    return Placing(Small(**shape)) if kind == "placing" else Following(Followed(**shape))
--- a/corklift/lab/policies.py
+++ b/corklift/lab/policies.py
@@ -138,15 +138,31 @@
         return servers[self._turn % len(servers)]
 
 
-class LeastSeen(Plain):
+class LeastOwn(Plain):
+    """Fewest connections of its own, as a proxy's least-connections draw sees them."""
+
+    PROBES = False
+
+    def choose(self, now: int, servers: list[int]) -> int:
+        least = min(self._open.get(server, 0) for server in servers)
+        return self._rng.choice([server for server in servers if self._open.get(server, 0) == least])
+
+
+class LowestReport(Plain):
+    """Fewest connections by the last probe, however old: all balancers run to the same one."""
+
     def choose(self, now: int, servers: list[int]) -> int:
         least = min(map(self.seen, servers))
         return self._rng.choice([server for server in servers if self.seen(server) == least])
 
 
 class TwoChoices(Plain):
+    """Of two drawn at random, the one with fewer connections of its own."""
+
+    PROBES = False
+
     def choose(self, now: int, servers: list[int]) -> int:
-        return min(self._rng.sample(servers, min(2, len(servers))), key=self.seen)
+        return min(self._rng.sample(servers, min(2, len(servers))), key=lambda server: self._open.get(server, 0))
 
 
 class InverseCounts(Plain):
@@ -170,5 +186,5 @@
 
 
 POLICIES: dict[str, Callable[..., Any]] = {
-    "module": _module, "random": Chance, "round robin": InTurn, "least connections": LeastSeen,
-    "two choices": TwoChoices, "inverse counts": InverseCounts, "true state": TrueState}
+    "module": _module, "random": Chance, "round robin": InTurn, "least connections": LeastOwn,
+    "two choices": TwoChoices, "lowest report": LowestReport, "inverse counts": InverseCounts, "true state": TrueState}
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -129,6 +129,31 @@
     assert not found.what and not walked.what and found.states >= 100
 
 
+@pytest.mark.parametrize("incremental", [False, True])
+def test_views_keep_their_promises_in_a_small_world_and_a_drain_that_waits_is_found(incremental, monkeypatch):
+    make = lambda: explore.Following(explore.Followed(incremental))  # noqa: E731
+    assert not explore.explore(make, 6, 600).what and not explore.wander(make, 200, 60, 1).what
+    from corklift.control.views import Views
+    changed = Views.changed
+    monkeypatch.setattr(Views, "changed", lambda self, now, tables, urgent=False: changed(self, now, tables))
+    found = explore.explore(make, 9, 20_000)
+    assert found.what == "views: a drain waits though there is room" and found.counterexample[-1] == "a server drains"
+    monkeypatch.setattr(Views, "changed", changed)
+    monkeypatch.setattr(Views, "room", lambda self, now, number: None)
+    assert explore.wander(make, 300, 60, 1).what.startswith("views: ")
+
+
+def test_the_load_tool_measures_a_real_balancer_and_its_limit():
+    from corklift.lab.load import Load, Shape
+    figures = Load(Shape(rate=80.0, seconds=3.0, hold_s=4.0, servers=2, sockets=200)).run()
+    assert figures["balancers_alive"] and figures["outcomes"]["balancer: UP"] > 30
+    assert figures["outcomes"].get("balancer: BUSY", 0) > 10  # past its descriptors it refuses, at once
+    assert figures["latency_ms"]["refused"]["p99"] < 500 and 1.9 < figures["descriptors_a_connection"] < 3
+    assert not [name for name in figures["outcomes"] if "no answer" in name]
+    with pytest.raises(ValueError, match="bounded"):
+        Load(Shape(rate=1e6))
+
+
 def test_equal_states_have_equal_digests_whatever_the_time():
     one, other = (explore.Placing(explore.Small()) for _ in range(2))
     for world, order in ((one, (1, 2)), (other, (2, 1))):
