--- a/corklift/control/views.py
+++ b/corklift/control/views.py
@@ -193,10 +193,8 @@
             TooMany: more names than are allowed.
         """
         stream = self.streams[number]
-        subscription = stream.kinds.get(kind)
-        first = subscription is None
-        if subscription is None:
-            subscription = stream.kinds[kind] = Subscription(kind, stream.incremental)
+        first = kind not in stream.kinds
+        subscription = stream.kinds.setdefault(kind, Subscription(kind, stream.incremental))
         if not first and nonce != subscription.last_nonce:
             # An answer to an earlier response, or of a stream that is gone: what it asks for is out of date.
             self._answered(now, subscription, nonce, problem)
@@ -236,10 +234,8 @@
             TooMany: more names than are allowed.
         """
         stream = self.streams[number]
-        subscription = stream.kinds.get(kind)
-        first = subscription is None
-        if subscription is None:
-            subscription = stream.kinds[kind] = Subscription(kind, stream.incremental)
+        first = kind not in stream.kinds
+        subscription = stream.kinds.setdefault(kind, Subscription(kind, stream.incremental))
         if nonce:
             self._answered(now, subscription, nonce, problem)
         if subscription.count() + len(subscribe) > self.settings.names or len(had) > self.settings.names:
