--- a/corklift/control/config.py
+++ b/corklift/control/config.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import re
 import socket
 from typing import Annotated, Any, Literal
 
@@ -17,6 +16,7 @@
 from corklift.interface import ColdRule, Workload
 from corklift.net.limits import Limits
 from corklift.rpc.core import MS, SECOND, RpcLimits
+from corklift.typed import Table, fault
 
 Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[!-~]+$")]
 Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
@@ -29,60 +29,56 @@
     """Names the key that is missing or impossible."""
 
 
-class _Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    pass
-
-
-class WorkloadTable(_Table):
+class WorkloadTable(Table):
     name: Name
     importance: Annotated[float, Meta(gt=0, le=1e9)] = 1.0
     soft_limit_ms: Span = 800
     time_limit_ms: Span = 3200
 
 
-class RouteTable(_Table):
+class RouteTable(Table):
     workload: Name
     prefix: Annotated[str, Meta(pattern="^/")] = "/"
 
 
-class ListenerTable(_Table):
+class ListenerTable(Table):
     name: Name
     routes: Annotated[list[RouteTable], Meta(min_length=1)]
     address: Address | None = None
     protocol: Literal["http", "tcp"] = "http"
 
 
-class WeightsTable(_Table):
+class WeightsTable(Table):
     every_ms: Annotated[int, Meta(ge=50, le=60_000)] = 1000
     dead_band: Part = 0.02
     log: bool = False
 
 
-class FreshnessTable(_Table):
+class FreshnessTable(Table):
     endpoint_stale_after_ms: SpanOrNone = 0
     ttl_ms: SpanOrNone = 0
     ack_wait_ms: Span = 2000
     hold_ms: Span = 3000
 
 
-class ColdTable(_Table):
+class ColdTable(Table):
     start_share: Annotated[float, Meta(gt=0, le=1)] = 0.3
     ramp_ms: SpanOrNone = 0
     multiple: Annotated[float, Meta(gt=0, le=100)] = 2.0
     span_ms: Span = 1000
 
 
-class ReportTable(_Table):
+class ReportTable(Table):
     count: Name = "inflight"
     pressure: Name | None = None
     busy: Name | None = None
 
 
-class LoadReportsTable(_Table):
+class LoadReportsTable(Table):
     every_ms: Annotated[int, Meta(ge=50, le=60_000)] = 500
 
 
-class LimitsTable(_Table):
+class LimitsTable(Table):
     proxies: Annotated[int, Meta(ge=1, le=100_000)] = 2000
     message_bytes: Annotated[int, Meta(ge=1024, le=64 << 20)] = 4 << 20
     names: Annotated[int, Meta(ge=1, le=1_000_000)] = 5000
@@ -92,11 +88,11 @@
     ping_wait_ms: Span = 3000
 
 
-class StopTable(_Table):
+class StopTable(Table):
     grace_ms: SpanOrNone = 2000
 
 
-class ControlTable(_Table):
+class ControlTable(Table):
     listen: Address
     discovery: Address
     workloads: Annotated[list[WorkloadTable], Meta(min_length=1)]
@@ -197,12 +193,7 @@
     try:
         return Control(msgspec.toml.decode(content, type=ControlTable))
     except msgspec.ValidationError as problem:
-        # "Expected `int` - at `$.weights.every_ms`"
-        found = re.fullmatch(r"(.*?) - at `\$\.?(.*)`", str(problem), re.DOTALL)
-        key, text = (found[2], found[1]) if found else ("", str(problem))
-        missing = re.search(r"field `(\w+)`", text)
-        if missing:
-            key = f"{key}.{missing[1]}".strip(".")
+        key, text = fault(problem)
         raise BadConfig(f"config: {key}: {text}") from None
     except (msgspec.DecodeError, ValueError, RecursionError) as problem:
         raise BadConfig(f"config: not TOML: {problem}") from None
--- a/corklift/lab/policies.py
+++ b/corklift/lab/policies.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any
@@ -17,7 +18,7 @@
 Truth = Callable[[int], float]  # a server's pressure as it is now, for the one policy that may see it
 
 
-class Plain:
+class Plain(ABC):
     """A balancer that tries ready servers by `choose` until its hand-offs are used up. Probes once a second."""
 
     PROBES = True
@@ -33,8 +34,9 @@
         self._marks: dict[int, int] = {}
         self._mark = 0
 
+    @abstractmethod
     def choose(self, now: int, servers: list[int]) -> int:
-        raise NotImplementedError
+        """One of these servers, none of them tried before if any is left."""
 
     def seen(self, server: int) -> float:
         """Connections as last probed; own ones where nothing was."""
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -53,7 +53,6 @@
 ASK_PART = 0.25  # of the soft limit, for the answers of one round
 UNASKED = 0.5  # of a cold server's budget is given to others, who come unevenly and tell of it late
 DOUBTFUL, LOTS = 6, 2000  # cold servers all of whose lots are told apart; so many lots where they are more
-EMPTIED = 0.25  # of its connections: a server that missed a probe and has fewer left has started anew
 GROUPS_LIKELY = 40  # of unknown size; what is seen of a group's share is drawn towards that of one of them
 
 
@@ -1047,8 +1046,7 @@
         known.asked_at = 0
         if outcome is Outcome.FULFILLED:
             quiet_for = now - max(known.read_at, known.listed_at)
-            emptied = report is not None and (report.count or 0) < EMPTIED * (known.count or 0)
-            if known.silent > int(self._counts.some_only) and (quiet_for > AGE_LIMIT or emptied):
+            if known.silent > int(self._counts.some_only) and quiet_for > AGE_LIMIT:
                 # Guards against pushing over a server that came back cold before the list says so.
                 known.started_at = max(known.started_at, now)
                 self._host.log(f"server {server} answers again: taken as just started")
