A discovery that has too much to do is left alone, apart and longer each time

Calls were counted across all balancers by a scratch line per call: 503 after 27 ms (its queue is full) or after 2.0 s (waited in turn, in vain), 7 to 90 a second; about one call in 5 s was answered. At fault in upkeep.Watch: a fixed pause of 50 ms after any failure; an answer waited for 1 s where one may come 2 s late; 503 taken for a broken answer, with the connection dropped and the whole list asked for next; the whole list at each start, though the configuration holds one with its version. Change: net/backoff.py, waits that double and spread; 503 and 429 wait half of ask-within and more, other faults 50 ms and more; the first call asks what has changed since the known version, without a wait.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -10,6 +10,7 @@
 import sys
 import traceback
 from collections.abc import Callable, Sequence
+from random import Random
 from typing import Any, NamedTuple
 
 from corklift.interface import NoteKind, Scope
@@ -93,7 +94,7 @@
         given = need(config, "limits", dict)
         given = given | {"sockets": allow_sockets(need(given, "sockets", int, "limits."))}
         try:
-            limits = Limits.of(given, connect_time, len(known.entries), longest)
+            limits = Limits.of(given, connect_time, len(known.entries), longest, arguments["ask_within"])
         except OverflowError:
             raise BadConfig(f"config: limits holds {given!r:.60}") from None
         return cls(listen, discovery, seed, known, limits, arguments, names, told,
@@ -116,7 +117,9 @@
         self.relay = Relay(scheduler, limits, self.counters, self.facade)
         self.port = self.relay.listen(given.listen)
         self.probes = Probes(scheduler, limits, self.counters, self.facade, given.kept_for)
-        self.watch = Watch(scheduler, limits, self.counters, self.printer, self.facade, given.discovery)
+        self.watch = Watch(scheduler, limits, self.counters, self.printer, self.facade, given.discovery,
+                           Random(given.seed ^ 1),
+                           given.known.version if given.known.whole and given.known.entries else None)
         self._stopping = False
 
     def start(self) -> None:
--- a/corklift/control/program.py
+++ b/corklift/control/program.py
@@ -12,6 +12,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import structlog
@@ -109,7 +110,8 @@
         self.probes = Probes(scheduler, config.net, self.counters, self.facade, KEPT_FOR)
         printer = Printer(config.net, scheduler.now, self.counters)
         printer.say = lambda text, always=False: self.lines.say("discovery", text=text)  # type: ignore[method-assign]
-        self.watch = Watch(scheduler, config.net, self.counters, printer, self, config.discovery)  # type: ignore[arg-type]
+        self.watch = Watch(scheduler, config.net, self.counters, printer, self, config.discovery,  # type: ignore[arg-type]
+                           Random(config.seed ^ 1))
         self._stopping = False
 
     def facade_placed(self, workload: str, server: str, number: int, failed: int) -> None:
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -55,9 +55,12 @@
     silent_time: int = 5 * SECOND  # a line that brought nothing back for so long: the client is moved
     end_time: int = 700 * MS  # to pass a connection's end on, and to wait for the other side's
     watch_wait: int = 4 * SECOND  # how long discovery may hold a watch
-    watch_slack: int = SECOND  # how late its answer may be before the watch begins anew
+    watch_slack: int = 2500 * MS  # how late its answer may be before the watch begins anew; it may come 2 s late
     watch_stall: int = 100 * MS  # in which an answer that has begun must go on, within the least grace of a drain
-    watch_pause: int = 50 * MS  # before a call after one that failed
+    watch_pause: int = 50 * MS  # before a call after one that failed, about; twice as long after each further one
+    watch_pause_most: int = 2500 * MS  # up to about this
+    overbooked_pause: int = 5 * SECOND  # as watch_pause, after an answer that discovery has too much to do
+    overbooked_pause_most: int = 20 * SECOND
     ready_time: int = 1500 * MS  # after which a start without discovery or counts serves all the same
     stop_accepting: int = 500 * MS  # after SIGTERM: clients still come until then
     printed: int = 20  # lines a second
@@ -79,7 +82,7 @@
         return self.connect_time * 5 // 4  # a probe's answer is waited for a little longer than a connect
 
     @classmethod
-    def of(cls, limits: Any, connect_time: int, servers: int, time_limit: int) -> Limits:
+    def of(cls, limits: Any, connect_time: int, servers: int, time_limit: int, ask_within: int) -> Limits:
         """From the deployment's limits; each of a fleet's servers may have a probe's connection of its own."""
         sockets = need(limits, "sockets", int, "limits.")
         memory = need(limits, "memory_mb", (int, float), "limits.")
@@ -93,7 +96,9 @@
             raise BadConfig(f"config: limits.{'sockets' if left < 2 else 'memory_mb'} leaves no room for a client")
         # The kill comes no sooner than the longest time limit, of 3 s at most, and 0.7 s more after SIGTERM.
         return cls(clients=clients, waiting=waiting, probes=probes, connect_time=connect_time,
-                   stop_time=min(time_limit, 3 * SECOND) + 400 * MS,
+                   stop_time=min(time_limit, 3 * SECOND) + 400 * MS, watch_pause_most=ask_within // 4,
+                   overbooked_pause=ask_within // 2,
+                   overbooked_pause_most=2 * ask_within,
                    body=min(cls.body, int(memory * (1 << 20)) // 64))
 
 
--- a/corklift/net/upkeep.py
+++ b/corklift/net/upkeep.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 from collections import deque
+from random import Random
 
 from corklift.interface import Outcome, Scope
+from corklift.net.backoff import Backoff
 from corklift.net.facade import Facade, Place
 from corklift.net.limits import Counters, Limits, Printer
 from corklift.net.parsers import STATS, HttpAnswer, Malformed, http_get, listing, load_report, server_line
@@ -31,6 +33,10 @@
     """Discovery is at another address now."""
 
 
+class Overbooked(Exception):
+    """Discovery has answered, in full, that it can't tell just now."""
+
+
 def connected(scheduler: Scheduler, limits: Limits, address: tuple[str, int], until: int) -> Stream:
     stream = Stream.connect(address, limits)
     try:
@@ -181,18 +187,26 @@
     """Follows the list: the whole of it first, then each change; anew wherever discovery is said to be."""
 
     def __init__(self, scheduler: Scheduler, limits: Limits, counters: Counters, printer: Printer, facade: Facade,
-                 address: tuple[str, int]) -> None:
+                 address: tuple[str, int], rng: Random, known: int | None = None) -> None:
         self._scheduler, self._limits, self._counters, self._facade = scheduler, limits, counters, facade
         self._printer, self._address = printer, address
         self._stream: Stream | None = None
-        self._index: int | None = None
-        self._failures = 0
+        self._index = known  # the version of the list that is known; None: the whole of it is asked for
+        self._rng = rng
+        self._failures = 0  # in a row
+        self._set_backoff(limits)
         self.told = False  # whether discovery has answered yet
         self._task: Task | None = None
 
+    def _set_backoff(self, limits: Limits) -> None:
+        """A fault is over soon. Who says that it has too much to do is made to say so by calls, and left alone."""
+        self._faults = Backoff(self._rng, limits.watch_pause, limits.watch_pause_most)
+        self._refusals = Backoff(self._rng, limits.overbooked_pause, limits.overbooked_pause_most)
+
     def follow(self, address: tuple[str, int], limits: Limits) -> None:
         """Discovery may be elsewhere by a new configuration; the list that is known stays in force."""
         self._limits = limits
+        self._set_backoff(limits)
         if address != self._address:
             self._address = address
             if self._task is not None:
@@ -217,9 +231,11 @@
                 self._call()
                 if self._failures:
                     self._printer.say(f"discovery answers again after {self._failures} calls")
-                self._failures = 0
-            except (Gone, Late, Malformed) as problem:
-                self._drop()
+                    self._failures = 0
+                    self._set_backoff(self._limits)
+            except (Gone, Late, Malformed, Overbooked) as problem:
+                if not isinstance(problem, Overbooked):
+                    self._drop()
                 self._failures += 1
                 self._counters["discovery failures"] += 1
                 if self._failures & (self._failures - 1) == 0:
@@ -227,7 +243,8 @@
                                       "the known list stays in force")
                 if isinstance(problem, Malformed):
                     self._index = None  # begin anew with the whole list
-                self._scheduler.sleep(self._limits.watch_pause)
+                backoff = self._refusals if isinstance(problem, Overbooked) else self._faults
+                self._scheduler.sleep(backoff.failed())
 
     def _drop(self) -> None:
         if self._stream is not None:
@@ -238,8 +255,10 @@
         now = self._scheduler.now()
         path, until = LIST, now + self._limits.watch_slack
         if self._index is not None:
-            path = f"{LIST}?index={self._index}&wait={self._limits.watch_wait // 1_000_000}"
-            until += self._limits.watch_wait
+            # The first answer tells that the list known at the start is the one in force: it is not waited for.
+            wait = self._limits.watch_wait if self.told else 0
+            path = f"{LIST}?index={self._index}&wait={wait // 1_000_000}"
+            until += wait
         if self._stream is None:
             self._stream = connected(self._scheduler, self._limits, self._address, now + self._limits.watch_slack)
         stream = self._stream
@@ -261,6 +280,9 @@
                 self._scheduler.wait({stream.fd: READ}, until)
         if not answer.keeps:
             self._drop()
+        if answer.status in (429, 503):
+            # Guards against the whole list asked for, by everyone, where it has said no more than to come later.
+            raise Overbooked(f"status {answer.status}")
         content = listing(answer.json())
         self._counters["discovery answers"] += 1
         if content.spoiled:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -492,7 +492,7 @@
 def test_a_log_flood_is_dropped_and_counted(capsys):
     now = [0]
     counters = Counters()
-    limits = Limits.of({"sockets": 100, "memory_mb": 64}, 200 * MS, 3, 3200 * MS)
+    limits = Limits.of({"sockets": 100, "memory_mb": 64}, 200 * MS, 3, 3200 * MS, 10_000 * MS)
     printer = Printer(limits, lambda: now[0], counters)
     for number in range(1000):
         printer.say(f"line {number}")
@@ -506,12 +506,12 @@
 
 def test_limits_leave_room_for_probes_and_refuse_what_serves_nobody():
     for sockets, memory in ((36, 64), (1024, 192), (20000, 192), (400, 16)):
-        limits = Limits.of({"sockets": sockets, "memory_mb": memory}, 200 * MS, 12, 3200 * MS)
+        limits = Limits.of({"sockets": sockets, "memory_mb": memory}, 200 * MS, 12, 3200 * MS, 10_000 * MS)
         assert 2 * limits.clients + limits.waiting + limits.probes + 10 <= sockets
         assert limits.clients * 4 * limits.ring <= memory << 20 >> 1
     for sockets, memory, key in ((20, 64, "sockets"), (400, 0, "memory_mb"), ("many", 64, "sockets")):
         with pytest.raises(BadConfig, match=key):
-            Limits.of({"sockets": sockets, "memory_mb": memory}, 200 * MS, 12, 3200 * MS)
+            Limits.of({"sockets": sockets, "memory_mb": memory}, 200 * MS, 12, 3200 * MS, 10_000 * MS)
 
 
 def balancer(tmp_path, config, wait=None) -> subprocess.CompletedProcess:
