Balancers that start together ask an asked discovery for the list one by one

At fault: Watch.keep_watching called at once at each start. Change: where the list must be asked for and a known one is in force, the first call comes at a random moment of a fifth of ask-within; pushed lists are followed at once as before. Tests: a refusal keeps version and connection and is waited out; eight starts ask at eight moments.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -94,7 +94,8 @@
         given = need(config, "limits", dict)
         given = given | {"sockets": allow_sockets(need(given, "sockets", int, "limits."))}
         try:
-            limits = Limits.of(given, connect_time, len(known.entries), longest, arguments["ask_within"])
+            limits = Limits.of(given, connect_time, len(known.entries), longest, arguments["ask_within"],
+                               arguments["ask_for_list"])
         except OverflowError:
             raise BadConfig(f"config: limits holds {given!r:.60}") from None
         return cls(listen, discovery, seed, known, limits, arguments, names, told,
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -61,6 +61,7 @@
     watch_pause_most: int = 2500 * MS  # up to about this
     overbooked_pause: int = 5 * SECOND  # as watch_pause, after an answer that discovery has too much to do
     overbooked_pause_most: int = 20 * SECOND
+    first_call_spread: int = 0  # over which a start with a known list first asks what is new, where it must ask
     ready_time: int = 1500 * MS  # after which a start without discovery or counts serves all the same
     stop_accepting: int = 500 * MS  # after SIGTERM: clients still come until then
     printed: int = 20  # lines a second
@@ -82,7 +83,8 @@
         return self.connect_time * 5 // 4  # a probe's answer is waited for a little longer than a connect
 
     @classmethod
-    def of(cls, limits: Any, connect_time: int, servers: int, time_limit: int, ask_within: int) -> Limits:
+    def of(cls, limits: Any, connect_time: int, servers: int, time_limit: int, ask_within: int,
+           ask_for_list: bool) -> Limits:
         """From the deployment's limits; each of a fleet's servers may have a probe's connection of its own."""
         sockets = need(limits, "sockets", int, "limits.")
         memory = need(limits, "memory_mb", (int, float), "limits.")
@@ -98,7 +100,7 @@
         return cls(clients=clients, waiting=waiting, probes=probes, connect_time=connect_time,
                    stop_time=min(time_limit, 3 * SECOND) + 400 * MS, watch_pause_most=ask_within // 4,
                    overbooked_pause=ask_within // 2,
-                   overbooked_pause_most=2 * ask_within,
+                   overbooked_pause_most=2 * ask_within, first_call_spread=ask_within // 5 if ask_for_list else 0,
                    body=min(cls.body, int(memory * (1 << 20)) // 64))
 
 
--- a/corklift/net/upkeep.py
+++ b/corklift/net/upkeep.py
@@ -215,6 +215,9 @@
 
     def keep_watching(self) -> None:
         self._task = self._scheduler.current
+        if self._index is not None and self._limits.first_call_spread:
+            # Guards against balancers that start together and ask together; the known list is in force meanwhile.
+            self._scheduler.sleep(int(self._rng.random() * self._limits.first_call_spread))
         while True:
             try:
                 self._watch_here()
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -151,7 +151,7 @@
 
     START = 1_700_000_000_000 * MS
 
-    def __init__(self, *servers, limits=None, known=True, **settings) -> None:
+    def __init__(self, *servers, limits=None, known=True, seed="5", **settings) -> None:
         self.now = self.START
         self.lines: list[str] = []
         self.behaviour = {f"s{number}": act for number, act in enumerate(servers, 1)}
@@ -163,7 +163,7 @@
         self.probed = None  # how servers answer probes, if unlike the ordinary way
         entries = [self.entry(name) for name in self.behaviour]
         self.config = {
-            "listen": "127.0.0.1:0", "discovery": "127.0.0.1:%d" % self.agent.getsockname()[1], "seed": "5",
+            "listen": "127.0.0.1:0", "discovery": "127.0.0.1:%d" % self.agent.getsockname()[1], "seed": seed,
             "limits": {"memory_mb": 64, "sockets": 400} | (limits or {}),
             "known": {"index": 1, "snapshot": True, "endpoints": entries if known else []},
             "settings": {
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -232,6 +232,31 @@
     assert {line.split()[-1] for line in wire.lines if " d" in line and "< UP" in line} == {"s2"}
 
 
+def test_a_refusal_of_discovery_leaves_list_and_connection_and_is_asked_anew_late_from_the_same_version():
+    # Guards against dozens of balancers that keep an overbooked discovery overbooked, each with the whole list.
+    wire = Wire("up", "up")
+    wire.run(500)
+    wire.answer(b"HTTP/1.1 503 Later\r\nContent-Length: 0\r\n\r\n")
+    wire.run(8000)
+    after = [(at, path) for at, path in wire.told if at > 500]
+    assert 3000 <= after[0][0] <= 8000 and wire.counters["discovery failures"] == 1, after
+    assert not any(path == "/registry/instances" for _, path in wire.told)
+    wire.client("c1", OPEN)
+    wire.run(100)
+    assert any("c1 < UP" in line for line in wire.lines)
+
+
+def test_balancers_that_start_together_ask_an_asked_discovery_one_by_one():
+    firsts = []
+    for seed in range(8):
+        wire = Wire("up", seed=str(seed), discovery="on_request")
+        wire.run(2500)
+        firsts.append(wire.told[0])
+    assert {path for _, path in firsts} == {"/registry/instances?index=1&wait=0"}
+    times = sorted(at for at, _ in firsts)
+    assert times[0] < 700 and 1200 < times[-1] <= 2000 and len(set(times)) == 8, times
+
+
 def test_a_new_configuration_moves_the_watch_at_once_and_a_bad_one_changes_nothing(tmp_path):
     # Guards against an end on SIGHUP, and against a watch that waits on at the old address.
     wire = Wire("up", "up")
@@ -492,7 +517,7 @@
 def test_a_log_flood_is_dropped_and_counted(capsys):
     now = [0]
     counters = Counters()
-    limits = Limits.of({"sockets": 100, "memory_mb": 64}, 200 * MS, 3, 3200 * MS, 10_000 * MS)
+    limits = Limits.of({"sockets": 100, "memory_mb": 64}, 200 * MS, 3, 3200 * MS, 10_000 * MS, False)
     printer = Printer(limits, lambda: now[0], counters)
     for number in range(1000):
         printer.say(f"line {number}")
@@ -506,12 +531,12 @@
 
 def test_limits_leave_room_for_probes_and_refuse_what_serves_nobody():
     for sockets, memory in ((36, 64), (1024, 192), (20000, 192), (400, 16)):
-        limits = Limits.of({"sockets": sockets, "memory_mb": memory}, 200 * MS, 12, 3200 * MS, 10_000 * MS)
+        limits = Limits.of({"sockets": sockets, "memory_mb": memory}, 200 * MS, 12, 3200 * MS, 10_000 * MS, False)
         assert 2 * limits.clients + limits.waiting + limits.probes + 10 <= sockets
         assert limits.clients * 4 * limits.ring <= memory << 20 >> 1
     for sockets, memory, key in ((20, 64, "sockets"), (400, 0, "memory_mb"), ("many", 64, "sockets")):
         with pytest.raises(BadConfig, match=key):
-            Limits.of({"sockets": sockets, "memory_mb": memory}, 200 * MS, 12, 3200 * MS, 10_000 * MS)
+            Limits.of({"sockets": sockets, "memory_mb": memory}, 200 * MS, 12, 3200 * MS, 10_000 * MS, False)
 
 
 def balancer(tmp_path, config, wait=None) -> subprocess.CompletedProcess:
