A balancer sums up each second of trouble in one line

Need: logs could not answer what a fleet did in a second: logins, hand-offs by outcome, probes, calls of the list.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -15,7 +15,7 @@
 
 from corklift.interface import NoteKind, Scope
 from corklift.net.facade import Facade
-from corklift.net.limits import MS, BadConfig, Counters, Limits, Printer, allow_sockets, need
+from corklift.net.limits import MS, SECOND, BadConfig, Counters, Limits, Printer, Seconds, allow_sockets, need
 from corklift.net.parsers import Listing, Malformed, listing
 from corklift.net.relay import Relay
 from corklift.net.scheduler import WRITE, Scheduler, wall_clock
@@ -129,7 +129,7 @@
         self.printer.wake = lambda: scheduler.wake(printing)
         self.facade.listed(Scope.CACHED, self._configuration.known)
         for job in (self.facade.keep_ticking, self.probes.keep_probing, self.watch.keep_watching,
-                    self.relay.keep_accepting, self._get_ready):
+                    self.relay.keep_accepting, self._get_ready, self._keep_telling):
             scheduler.spawn(self._keep, job)
 
     def _keep(self, job: Callable[[], None]) -> None:
@@ -211,6 +211,14 @@
         self.counters["exceptions"] += 1
         self.printer.say(f"exception: {trace}")
 
+    def _keep_telling(self) -> None:
+        seconds = Seconds(self.counters)
+        while True:
+            self.scheduler.sleep(SECOND)
+            line = seconds.line()
+            if line is not None:
+                self.printer.say(line)
+
     def _keep_printing(self) -> None:
         while True:
             if not self.printer.waiting:
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -124,6 +124,42 @@
         return "counters: " + " ".join(f"{name}={self[name]}" for name in sorted(self))
 
 
+class Seconds:
+    """What a second brought, as one short line, where it brought trouble; `tools/fleet_count.py` adds up a fleet's."""
+
+    SHOWN = {
+        "logins": ("logins in",),
+        "bounced": ("logins bounced", "logins bounced without room"),
+        "terminated": ("logins terminated",),
+        "hand-offs": ("hand-offs",),
+        "full": ("hand-offs full",),
+        "failed": ("hand-offs error", "hand-offs timed out", "hand-offs not connected", "hand-offs broken"),
+        "moved": ("clients moved", "clients moved from silence"),
+        "broken": ("connections broken",),
+        "probes": ("probes",),
+        "probes unanswered": ("probes timed out", "probes not connected", "probes broken"),
+        "connects": ("hand-offs", "probe connections"),
+        "list calls": ("discovery answers", "discovery failures"),
+        "list failures": ("discovery failures",),
+    }
+    TROUBLE = ("bounced", "terminated", "full", "failed", "moved", "broken", "list failures")
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+        self._last = self._now()
+
+    def _now(self) -> dict[str, int]:
+        return {name: sum(self._counters[key] for key in keys) for name, keys in self.SHOWN.items()}
+
+    def line(self) -> str | None:
+        """What has come since the last call; None where that was no trouble."""
+        now, last = self._now(), self._last
+        self._last = now
+        if not any(now[name] > last[name] for name in self.TROUBLE):
+            return None
+        return "second: " + " ".join(f"{name}={now[name] - last[name]}" for name in now if now[name] > last[name])
+
+
 class Printer:
     """Lines for standard error: so many a second, never waiting for whoever reads them."""
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -175,7 +175,9 @@
                                 "keepalive-ns": 5000 * MS}} | settings}
         self.process = Process(self.config, lambda: self.now, VirtualPoll(self))
         self.limits, self.counters = self.process.limits, self.process.counters
-        self.process.printer.say = lambda text, always=False: self.say(f"log: {text}")
+        self.seconds: list[str] = []  # the lines that sum up a second; the traces hold what they sum up
+        self.process.printer.say = lambda text, always=False: (
+            self.seconds.append(text) if text.startswith("second: ") else self.say(f"log: {text}"))
         self.process.start()
         self.spawn = self.process.scheduler.spawn
         self.wait, self.sleep = self.process.scheduler.wait, self.process.scheduler.sleep
