The control service starts again: its watch takes the seed where the configuration has it

Seen: 17 of 31 tests of the control service failed with 'Control has no attribute seed'; since it could not start. At fault: control/program.py, Random(config.seed ^ 1). Change: config.table.seed.

--- a/corklift/control/program.py
+++ b/corklift/control/program.py
@@ -111,7 +111,7 @@
         printer = Printer(config.net, scheduler.now, self.counters)
         printer.say = lambda text, always=False: self.lines.say("discovery", text=text)  # type: ignore[method-assign]
         self.watch = Watch(scheduler, config.net, self.counters, printer, self, config.discovery,  # type: ignore[arg-type]
-                           Random(config.seed ^ 1))
+                           Random(config.table.seed ^ 1))
         self._stopping = False
 
     def facade_placed(self, workload: str, server: str, number: int, failed: int) -> None:
