A discovery that moves before the first call is asked for the whole list, without an exception

Seen on reading the change again, and in a test that fails without this: a new address within the first pause raised Redirected outside the watch's own handling, so it was counted as an exception, and the new discovery was asked from the old one's version: a removal could stay unseen. At fault: upkeep.Watch.keep_watching, the pause before the try. Change: the pause within it; after a move there is none.

--- a/corklift/net/upkeep.py
+++ b/corklift/net/upkeep.py
@@ -215,11 +215,12 @@
 
     def keep_watching(self) -> None:
         self._task = self._scheduler.current
-        if self._index is not None and self._limits.first_call_spread:
-            # Guards against balancers that start together and ask together; the known list is in force meanwhile.
-            self._scheduler.sleep(int(self._rng.random() * self._limits.first_call_spread))
+        # Guards against balancers that start together and ask together; the known list is in force meanwhile.
+        pause = int(self._rng.random() * self._limits.first_call_spread) if self._index is not None else 0
         while True:
             try:
+                wait, pause = pause, 0
+                self._scheduler.sleep(wait)
                 self._watch_here()
             except Redirected:
                 self._counters["discovery addresses left"] += 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -257,6 +257,16 @@
     assert times[0] < 700 and 1200 < times[-1] <= 2000 and len(set(times)) == 8, times
 
 
+def test_a_discovery_that_moves_before_the_first_call_is_asked_for_the_whole_list():
+    # Guards against a version of the old discovery asked of the new one, and against an exception on the way.
+    wire = Wire("up", discovery="on_request")
+    wire.run(100)
+    wire.move_discovery()
+    wire.process.watch.follow(("127.0.0.1", wire.agent.getsockname()[1]), wire.limits)
+    wire.run(3000)
+    assert wire.counters["exceptions"] == 0 and wire.told[0][1] == "/registry/instances at 2", wire.told
+
+
 def test_a_new_configuration_moves_the_watch_at_once_and_a_bad_one_changes_nothing(tmp_path):
     # Guards against an end on SIGHUP, and against a watch that waits on at the old address.
     wire = Wire("up", "up")
