--- a/corklift/net/upkeep.py
+++ b/corklift/net/upkeep.py
@@ -216,7 +216,8 @@
     def keep_watching(self) -> None:
         self._task = self._scheduler.current
         # Guards against balancers that start together and ask together; the known list is in force meanwhile.
-        pause = int(self._rng.random() * self._limits.first_call_spread) if self._index is not None else 0
+        spread = self._limits.first_call_spread if self._index is not None else 0
+        pause = int(self._rng.random() * spread) if spread else 0
         while True:
             try:
                 wait, pause = pause, 0
