Operators' address: health, figures, a server taken out by hand and put back

`net/admin.py` is a front of its own on the scheduler, with its own few descriptors (a sixteenth, taken off the clients' before they are counted), its own bounded set of callers and a pure parser (`HttpCall`, sharing its reading with discovery's `HttpAnswer`). Whoever has held a place longest without a whole call makes room for the next. Rejected: calls read by the clients' door, told apart by their first word: a crowd at that door would delay operators, who call then most.

Figures come from what the program acts on: `in_flight` is the facade's tickets, `attempts` the one place where a line's last byte leaves, served, refused and failed are counted in the one place where each answer is written.

A cordon is a word of its own beside discovery's (`Roster._out` beside `Server.status`); `Server.ready` is derived from both. Rejected: status DRAINING set by hand: the next list would overwrite it. The module moves the connections off and stops probes and kept probe connections; put back, the server is cold from the start that the list tells, or else from the return, and its earlier failures tell nothing. It holds too against a server that discovery drops and lists anew meanwhile; it hurts where operators put back a server that was not restarted: that one is filled slowly for the ramp.

Also mended: a line was still written to a server that began to drain while it was connected to (`relay._try`); it is not sent now, and the module picks again.

Checked: 7 new tests, tests/test_net.py and tests/test_control.py pass.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 
 from corklift.interface import NoteKind, Scope
+from corklift.net.admin import Admin, Desk, figures
 from corklift.net.facade import Facade
 from corklift.net.limits import MS, SECOND, BadConfig, Counters, Limits, Printer, Seconds, allow_sockets, need
 from corklift.net.parsers import Listing, Malformed, listing
@@ -24,15 +25,17 @@
 from corklift.settings import BadSettings, report_names, told_figure, translate
 
 
-def _address(config: Any, key: str) -> tuple[str, int]:
-    host, _, port = need(config, key, str).rpartition(":")
+def _address(config: Any, key: str, told: str | None = None) -> tuple[str, int]:
+    """An address of the configuration, or the one that the environment tells instead."""
+    text = told or need(config, key, str)
+    host, _, port = text.rpartition(":")
     try:
         # Guards against a name, whose look-up would block everything at each connect.
         socket.inet_pton(socket.AF_INET, host)
         if not (port.isascii() and port.isdecimal()) or int(port) > 65535:
             raise ValueError
     except (OSError, ValueError):
-        raise BadConfig(f"config: {key} holds {config[key]!r:.60}") from None
+        raise BadConfig(f"config: {key} holds {text!r:.60}") from None
     return host, int(port)
 
 
@@ -67,10 +70,13 @@
     localities: list[str]
     kinds: list[str]
     kept_for: int  # how long a connection for probes idles
+    admin: tuple[str, int] | None  # where operators call, if they do
 
     @classmethod
-    def of(cls, config: Any) -> Configuration:
+    def of(cls, config: Any, admin_told: str | None = None) -> Configuration:
         listen, discovery = _address(config, "listen"), _address(config, "discovery")
+        operated = bool(admin_told) or "admin_addr" in config
+        admin = _address(config, "admin_addr", admin_told) if operated else None
         seed = need(config, "seed", (str, int))
         try:
             seed = seed if isinstance(seed, int) else int(seed, 16)
@@ -95,12 +101,12 @@
         given = given | {"sockets": allow_sockets(need(given, "sockets", int, "limits."))}
         try:
             limits = Limits.of(given, connect_time, len(known.entries), longest, arguments["ask_within"],
-                               arguments["ask_for_list"])
+                               arguments["ask_for_list"], operated)
         except OverflowError:
             raise BadConfig(f"config: limits holds {given!r:.60}") from None
         return cls(listen, discovery, seed, known, limits, arguments, names, told,
                    _names(settings, "localities"), _names(settings, "skus"),
-                   need(allow, "keepalive-ns", int, "settings.permissions."))
+                   need(allow, "keepalive-ns", int, "settings.permissions."), admin)
 
 
 class Process:
@@ -109,7 +115,8 @@
     def __init__(self, config: Any, now: Callable[[], int] | None = None, poller: Any = None) -> None:
         self.counters = Counters()
         now = now or wall_clock()
-        self._configuration = given = Configuration.of(config)
+        self._admin_told = os.environ.get("BALANCER_ADMIN_ADDR")  # of this process, so it goes before the file's
+        self._configuration = given = Configuration.of(config, self._admin_told)
         self.limits = limits = given.limits
         self.printer = Printer(limits, now, self.counters)
         self.scheduler = scheduler = Scheduler(now, self._failed, poller)
@@ -121,6 +128,8 @@
         self.watch = Watch(scheduler, limits, self.counters, self.printer, self.facade, given.discovery,
                            Random(given.seed ^ 1),
                            given.known.version if given.known.whole and given.known.entries else None)
+        self.admin = Admin(scheduler, limits, self.counters, Desk(self))
+        self.admin_port = self.admin.listen(given.admin) if given.admin else 0
         self._stopping = False
 
     def start(self) -> None:
@@ -129,7 +138,7 @@
         self.printer.wake = lambda: scheduler.wake(printing)
         self.facade.listed(Scope.CACHED, self._configuration.known)
         for job in (self.facade.keep_ticking, self.probes.keep_probing, self.watch.keep_watching,
-                    self.relay.keep_accepting, self._get_ready, self._keep_telling):
+                    self.admin.keep_accepting, self.relay.keep_accepting, self._get_ready, self._keep_telling):
             scheduler.spawn(self._keep, job)
 
     def _keep(self, job: Callable[[], None]) -> None:
@@ -148,9 +157,11 @@
         """Takes what a new configuration changes; clients, the list and all counts stay. A bad one changes nothing."""
         old = self._configuration
         try:
-            new = Configuration.of(_read(os.environ.get("BALANCER_CONFIG")))
+            new = Configuration.of(_read(os.environ.get("BALANCER_CONFIG")), self._admin_told)
             if new.listen != old.listen and not self._stopping:
                 self.port = self.relay.listen(new.listen)
+            if new.admin != old.admin and new.admin is not None:
+                self.admin_port = self.admin.listen(new.admin)
         except (BadConfig, OSError) as problem:
             self.counters["configurations refused"] += 1
             what = problem if isinstance(problem, BadConfig) else f"config: listen: {problem}"
@@ -160,6 +171,7 @@
         self.printer.limits = new.limits
         self.facade.settings_changed(new.arguments, new.report_names, new.told, new.localities, new.kinds)
         self.relay.reconfigure(new.limits)
+        self.admin.reconfigure(new.limits)
         self.probes.reconfigure(new.limits, new.kept_for)
         self.watch.follow(new.discovery, new.limits)
         changed = sorted({name if name in ("listen", "discovery", "seed", "known", "limits") else "settings"
@@ -167,6 +179,21 @@
         self.counters["configurations taken"] += 1
         self.printer.say(f"configuration read anew, changed: {' '.join(changed) or 'nothing'}", always=True)
 
+    # What operators ask and tell
+
+    def serves(self) -> bool:
+        return self.relay.serves and not self._stopping
+
+    def figures(self) -> str:
+        known, avoided = self.facade.known_and_avoided()
+        return figures(self.counters, self.facade.workloads(), self.relay.in_flight, known, avoided)
+
+    def take_out(self, name: str) -> bool:
+        return self.facade.take_out(name)
+
+    def put_back(self, name: str) -> bool:
+        return self.facade.put_back(name)
+
     def run(self, early: Sequence[int] = ()) -> None:
         """Serves until told to stop; `early` holds the signals to reload that came while it was put together."""
         self.scheduler.on_signal(signal.SIGHUP, lambda: self.scheduler.spawn(self.reload))
--- /dev/null
+++ b/corklift/net/blocking.py
@@ -0,0 +1,76 @@
+"""What a task does with a stream and waits for: a door, a connect, a message out, an end that is seen out.
+
+Owns nothing. Must never wait past the time it is given, or know what is said.
+"""
+
+from __future__ import annotations
+
+import socket
+
+from corklift.net.limits import Limits
+from corklift.net.scheduler import READ, WRITE, Scheduler
+from corklift.net.stream import Stream
+
+
+class Gone(Exception):
+    """The connection has ended or never stood."""
+
+
+class Late(Exception):
+    """No answer within its time."""
+
+
+def door(address: tuple[str, int]) -> socket.socket:
+    """Listens at once."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(4096)
+        sock.setblocking(False)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def connected(scheduler: Scheduler, limits: Limits, address: tuple[str, int], until: int) -> Stream:
+    stream = Stream.connect(address, limits)
+    try:
+        while not stream.broken and not scheduler.wait({stream.fd: WRITE}, until):
+            if scheduler.now() >= until:
+                raise Late
+        if stream.failed():
+            raise Gone
+    except BaseException:
+        stream.close()
+        raise
+    return stream
+
+
+def send(scheduler: Scheduler, stream: Stream, content: bytes, until: int) -> None:
+    stream.write(content)
+    while len(stream.outbox):
+        if stream.broken:
+            raise Gone
+        if scheduler.now() >= until:
+            raise Late
+        scheduler.wait({stream.fd: WRITE}, until)
+        stream.flush()
+
+
+def see_off(scheduler: Scheduler, stream: Stream, line: bytes, until: int) -> None:
+    """Writes a last line, ends, and takes in what still comes, so that no reset overtakes the line."""
+    if line and not stream.closed and stream.outbox.room >= len(line):
+        stream.write(line)
+    while not stream.broken and not stream.closed and scheduler.now() < until:
+        stream.flush()
+        if not len(stream.outbox):
+            stream.end_sending()
+        stream.receive()
+        stream.inbox.drop(len(stream.inbox))
+        mask = (0 if stream.ended else READ) | (WRITE if len(stream.outbox) else 0)
+        if not mask:
+            break
+        scheduler.wait({stream.fd: mask}, until)
+    stream.close()
--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -68,12 +68,15 @@
         self._next_login = 1
         self._names: dict[int, str] = {}
         self._addresses: dict[int, tuple[str, int]] = {}
-        self._ready: set[int] = set()
+        self._ready: set[int] = set()  # by the list
+        self._listed: set[int] = set()  # draining ones too
+        self._out: dict[int, str] = {}  # names of those that operators have taken out, listed or not
         self._heard: set[int] = set()
         self._timers: list[tuple[int, int]] = []
         self._ticker: Task | None = None
         self._probes: deque[int] = deque()
         self._prober: Task | None = None
+        self.close_probes: Callable[[int], None] = lambda server: None  # whoever probes sets it
         self._balancer = Balancer(self, Random(seed), now=scheduler.now(), **arguments)
 
     def settings_changed(self, arguments: dict[str, Any], report_names: dict[str, str],
@@ -106,6 +109,14 @@
     def workload(self, name: str) -> int | None:
         return self._workloads.get(name)
 
+    def workloads(self) -> list[str]:
+        """All that were ever in force, for counts."""
+        return [workload.name for workload in self._all_workloads]
+
+    @property
+    def in_flight(self) -> int:
+        return len(self._tickets)
+
     def time_limit(self, opening: Opening) -> int:
         return self._all_workloads[self._workloads[opening.workload]].time_limit
 
@@ -190,6 +201,33 @@
         """Others have placed so many logins on this server, and so many of them failed."""
         self._balancer.placed_by_others(self._scheduler.now(), self._server_id(name), number, failed)
 
+    # What operators' calls do
+
+    def take_out(self, name: str) -> bool:
+        """The server drains from now on, until it is put back; whether there is such a server."""
+        server = self._server_id(name)
+        if server not in self._listed and server not in self._out:
+            return False
+        if server not in self._out:
+            self._out[server] = name
+            self._balancer.server_out(self._scheduler.now(), server)
+        return True
+
+    def put_back(self, name: str) -> bool:
+        """The server may serve again where it is listed; whether there is such a server."""
+        server = self._server_id(name)
+        if self._out.pop(server, None) is not None:
+            self._balancer.server_back(self._scheduler.now(), server)
+            return True
+        return server in self._listed
+
+    def known_and_avoided(self) -> tuple[int, int]:
+        return self._balancer.known_and_avoided(self._scheduler.now())
+
+    def takes_new(self, server: int) -> bool:
+        """Whether it has not begun to drain, by the list's word or operators'."""
+        return server in self._ready and server not in self._out
+
     # What upkeep calls
 
     def listed(self, scope: Scope, content: Listing) -> None:
@@ -204,11 +242,12 @@
         if content.whole:
             gone |= self._names.keys() - named
         self._ready -= gone
+        self._listed = self._listed - gone | named - gone
         for line in lines:
             (self._ready.add if line.status is Status.READY else self._ready.discard)(line.server)
         self._balancer.servers_listed(self._scheduler.now(), scope, content.version, tuple(lines))
         used = {ticket.place.server for ticket in self._tickets.values() if ticket.place is not None}
-        for server in gone - used:  # Guards against growth with every server that ever was.
+        for server in gone - used - self._out.keys():  # Guards against growth with every server that ever was.
             for held in (self._names, self._addresses):
                 held.pop(server, None)
             self._heard.discard(server)
@@ -236,7 +275,7 @@
 
     def all_heard(self) -> bool:
         """Whether a probe of every ready server has come to an end."""
-        return bool(self._ready) and self._ready <= self._heard
+        return bool(self._ready) and self._ready - self._out.keys() <= self._heard
 
     def tick(self) -> int | None:
         """Runs what is due; returns when the next is."""
@@ -285,7 +324,8 @@
             self._scheduler.wake(self._prober)
 
     def close_idle(self, server: int) -> None:
-        """No connection idles but a server's one for probes, which is kept for the next."""
+        """No connection idles but a server's one for probes."""
+        self.close_probes(server)
 
     def set_timer(self, after: int, mark: int) -> None:
         # Never due in the round of ticks that set it.
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -64,6 +64,10 @@
     first_call_spread: int = 0  # over which a start with a known list first asks what is new, where it must ask
     ready_time: int = 1500 * MS  # after which a start without discovery or counts serves all the same
     stop_accepting: int = 500 * MS  # after SIGTERM: clients still come until then
+    calls: int = 0  # connections of operators at a time
+    call: int = 16384  # bytes of an operator's call beside its head
+    call_time: int = 5 * SECOND  # for an operator's whole call to come
+    operator_pause: int = 20 * MS  # where the system has no descriptor for one
     printed: int = 20  # lines a second
     print_queue: int = 200  # lines
 
@@ -84,20 +88,21 @@
 
     @classmethod
     def of(cls, limits: Any, connect_time: int, servers: int, time_limit: int, ask_within: int,
-           ask_for_list: bool) -> Limits:
+           ask_for_list: bool, operated: bool = False) -> Limits:
         """From the deployment's limits; each of a fleet's servers may have a probe's connection of its own."""
         sockets = need(limits, "sockets", int, "limits.")
         memory = need(limits, "memory_mb", (int, float), "limits.")
         probes = max(8, min(2 * servers + 8, sockets // 8))
         waiting = max(8, sockets // 8)
-        left = sockets - STANDARD_FILES - probes - waiting - 2
+        calls = max(4, min(32, sockets // 16)) if operated else 0
+        left = sockets - STANDARD_FILES - probes - waiting - 2 - (calls + 1 if operated else 0)
         # A relayed client holds four rings and a greenlet; half of the memory is for these.
         by_memory = int(memory * (1 << 20) / 2) // (5 * cls.ring + 24 * 1024)
         clients = min(left // 2, by_memory)
         if sockets < 1 or clients < 1:
             raise BadConfig(f"config: limits.{'sockets' if left < 2 else 'memory_mb'} leaves no room for a client")
         # The kill comes no sooner than the longest time limit, of 3 s at most, and 0.7 s more after SIGTERM.
-        return cls(clients=clients, waiting=waiting, probes=probes, connect_time=connect_time,
+        return cls(clients=clients, waiting=waiting, probes=probes, connect_time=connect_time, calls=calls,
                    stop_time=min(time_limit, 3 * SECOND) + 400 * MS, watch_pause_most=ask_within // 4,
                    overbooked_pause=ask_within // 2,
                    overbooked_pause_most=2 * ask_within, first_call_spread=ask_within // 5 if ask_for_list else 0,
@@ -120,6 +125,14 @@
 class Counters(Counter[str]):
     """What is taken in, sent and answered, by name."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.answers: Counter[tuple[str, str]] = Counter()  # served, refused or failed, by workload
+
+    def answered(self, word: str, workload: str) -> None:
+        """A client of this workload has been served, refused or failed: each once, where the answer is written."""
+        self.answers[word, workload] += 1
+
     def text(self) -> str:
         return "counters: " + " ".join(f"{name}={self[name]}" for name in sorted(self))
 
--- a/corklift/net/parsers.py
+++ b/corklift/net/parsers.py
@@ -1,6 +1,6 @@
-"""Lines of the protocol, and discovery's HTTP/1.1 and JSON.
+"""Lines of the protocol, HTTP/1.1 as discovery answers it and operators call by it, and JSON.
 
-Pure: bytes in, values out, for any split of the bytes. Owns no socket, no clock and no state beyond one answer
+Pure: bytes in, values out, for any split of the bytes. Owns no socket, no clock and no state beyond one message
 that is still coming in. Must never guess: what doesn't follow the form raises `Malformed`.
 """
 
@@ -9,6 +9,7 @@
 import json
 import math
 import re
+from abc import ABC, abstractmethod
 from hashlib import blake2b
 from typing import Any, NamedTuple
 
@@ -16,6 +17,9 @@
 
 PING, PONG, STATS = b"PING\r\n", b"PONG\r\n", b"STATS\r\n"
 MOVE, FAILED, BUSY, ERR = b"MOVE\r\n", b"FAILED\r\n", b"BUSY\r\n", b"ERR\r\n"
+GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+           413: "Content Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
 STATUSES = {"active": Status.READY, "leaving": Status.DRAINING, "left": Status.GONE}
 _OPENING = re.compile(rb"OPEN ([!-~]+) ([!-~]+) ([!-~]+)\r\n", re.ASCII)
 _NAME = re.compile(r"[a-z_][a-z0-9_]*")
@@ -28,6 +32,10 @@
     """What came does not follow the form."""
 
 
+class TooLong(Malformed):
+    """What came is longer than it may be."""
+
+
 def stable_id(text: str, plain: bool = True) -> int:
     """The same number for a name at every balancer: the decisions compare ids and order servers by them.
 
@@ -181,8 +189,8 @@
     return f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode("ascii")
 
 
-class HttpAnswer:
-    """One answer to a GET, fed as it comes."""
+class HttpMessage(ABC):
+    """One message of HTTP/1.1, fed as it comes; its first line is for the kind of message to read."""
 
     HEAD_MOST = 16384
 
@@ -191,53 +199,55 @@
         self._bytes = bytearray()
         self._left: int | None = None  # of the body, or of the chunk
         self._chunked = self._to_end = False
-        self._head_done = False
         self._body = bytearray()
-        self.status = 0
-        self.done = False
+        self.head_done = self.done = False
+        self.fields: dict[bytes, bytes] = {}
         self.keeps = True  # the connection may be used again
 
     def feed(self, content: bytes) -> None:
         self._bytes += content
-        if not self._head_done:
+        if not self.head_done:
             self._read_head()
-        if self._head_done and not self.done:
+        if self.head_done and not self.done:
             if self._chunked:
                 self._read_chunks()
             else:
                 self._read_plain()
         if len(self._body) > self._most:
-            raise Malformed("answer too long")
+            raise TooLong("body too long")
 
     def ended(self) -> None:
-        """The connection has ended; that ends an answer of unstated length, and spoils any other."""
+        """The connection has ended; that ends a message of unstated length, and spoils any other."""
         self.keeps = False
         if not self.done:
-            if not (self._head_done and self._to_end):
-                raise Malformed("answer cut off")
+            if not (self.head_done and self._to_end):
+                raise Malformed("message cut off")
             self.done = True
 
-    def json(self) -> Any:
-        if self.status != 200:
-            raise Malformed(f"status {self.status}")
+    def _decoded(self) -> Any:
         try:
             return json.loads(self._body)
         except (ValueError, RecursionError):
             raise Malformed("no JSON") from None
 
+    @abstractmethod
+    def _first_line(self, line: bytes) -> None:
+        """Reads the first line of a head."""
+
+    def _without_length(self) -> None:
+        """Nothing in the head says how long the body is."""
+        self._to_end = True
+
     def _read_head(self) -> None:
         end = self._bytes.find(b"\r\n\r\n")
         if end > self.HEAD_MOST or (end < 0 and len(self._bytes) > self.HEAD_MOST):
-            raise Malformed("head too long")
+            raise TooLong("head too long")
         if end < 0:
             return
         first, *lines = bytes(self._bytes[:end]).split(b"\r\n")
         del self._bytes[:end + 4]
-        found = re.fullmatch(rb"HTTP/1\.([01]) (\d{3})(?: .*)?", first)
-        if found is None:
-            raise Malformed("no HTTP/1.1")
-        self.status, self.keeps = int(found[2]), found[1] == b"1"
-        fields: dict[bytes, bytes] = {}
+        self._first_line(first)
+        self.fields = fields = {}
         for line in lines:
             name, colon, value = line.partition(b":")
             if not colon or not name or name != name.strip():
@@ -245,20 +255,29 @@
             fields[name.lower()] = value.strip()
         if fields.get(b"connection", b"").lower() == b"close":
             self.keeps = False
-        if 100 <= self.status < 200:
+        if self._goes_on():
             return self._read_head()
-        self._head_done = True
+        self.head_done = True
         if fields.get(b"transfer-encoding", b"").lower() == b"chunked":
             self._chunked = True
-        elif self.status in (204, 304):
+        elif self._bodiless():
             self._left = 0
         elif b"content-length" in fields:
             length = fields[b"content-length"]
-            if not length.isdigit() or len(length) > 12 or int(length) > self._most:
+            if not length.isdigit():
                 raise Malformed("length")
+            if len(length) > 12 or int(length) > self._most:
+                raise TooLong("length")
             self._left = int(length)
         else:
-            self._to_end = True
+            self._without_length()
+
+    def _goes_on(self) -> bool:
+        """Whether another head follows this one."""
+        return False
+
+    def _bodiless(self) -> bool:
+        return False
 
     def _read_plain(self) -> None:
         if self._to_end:
@@ -286,7 +305,7 @@
                     raise Malformed("chunk")
                 self._left = int(size, 16)
                 if len(self._body) + self._left > self._most:
-                    raise Malformed("answer too long")
+                    raise TooLong("body too long")
                 if not self._left:
                     self._left = -1  # trailers, up to an empty line
             if self._left < 0:
@@ -305,3 +324,63 @@
             self._body += self._bytes[:self._left]
             del self._bytes[:self._left + 2]
             self._left = None
+
+
+class HttpAnswer(HttpMessage):
+    """An answer to a GET."""
+
+    def __init__(self, body_most: int) -> None:
+        super().__init__(body_most)
+        self.status = 0
+
+    def json(self) -> Any:
+        if self.status != 200:
+            raise Malformed(f"status {self.status}")
+        return self._decoded()
+
+    def _first_line(self, line: bytes) -> None:
+        found = re.fullmatch(rb"HTTP/1\.([01]) (\d{3})(?: .*)?", line)
+        if found is None:
+            raise Malformed("no HTTP/1.1")
+        self.status, self.keeps = int(found[2]), found[1] == b"1"
+
+    def _goes_on(self) -> bool:
+        return 100 <= self.status < 200
+
+    def _bodiless(self) -> bool:
+        return self.status in (204, 304)
+
+
+class HttpCall(HttpMessage):
+    """A call that comes in."""
+
+    def __init__(self, body_most: int) -> None:
+        super().__init__(body_most)
+        self.method = self.path = ""
+
+    @property
+    def hesitates(self) -> bool:
+        """Whether the caller sends the body only when told to go on."""
+        return self.fields.get(b"expect", b"").lower() == b"100-continue" and not self.done
+
+    def table(self) -> dict[str, Any]:
+        content = self._decoded()
+        if not isinstance(content, dict):
+            raise Malformed("no JSON object")
+        return content
+
+    def _first_line(self, line: bytes) -> None:
+        found = re.fullmatch(rb"([A-Z]{1,16}) ([!-~]{1,2048}) HTTP/1\.[01]", line)
+        if found is None:
+            raise Malformed("no HTTP/1.1")
+        self.method, self.path = found[1].decode("ascii"), found[2].decode("ascii").partition("?")[0]
+
+    def _without_length(self) -> None:
+        self._left = 0
+
+
+def http_answer(status: int, text: str, more: str = "") -> bytes:
+    """The one answer on its connection, which then ends."""
+    body = text.encode()
+    return (f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: text/plain; charset=utf-8\r\n"
+            f"Content-Length: {len(body)}\r\n{more}Connection: close\r\n\r\n").encode("ascii") + body
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from corklift.interface import Outcome
+from corklift.net.blocking import door, see_off
 from corklift.net.facade import Facade, Place, Refusal, Ticket
 from corklift.net.limits import MS, Counters, Limits
 from corklift.net.parsers import (BUSY, ERR, FAILED, MOVE, PING, PONG, Malformed, Opening, busy, figure, load_report,
@@ -50,16 +51,22 @@
         self._past: dict[str, int] = {}  # names of those that have ended, oldest first, and until when they are known
         self._open: dict[int, Ticket] = {}
         self._turning_away = False
+        self._standing = 0  # connections of before the start that are being brought up
+
+    @property
+    def in_flight(self) -> int:
+        """Connections taken and not ended."""
+        return self._facade.in_flight + self._standing
+
+    @property
+    def serves(self) -> bool:
+        return self.ready and not self._turning_away
 
     # The door
 
     def listen(self, address: tuple[str, int]) -> int:
         """Opens the door at once, so that no client is refused while the rest starts; returns its port."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(address)
-        sock.listen(4096)
-        sock.setblocking(False)
+        sock = door(address)
         self._listeners.append(sock)
         if self._acceptor is not None:
             self._scheduler.wake(self._acceptor)
@@ -171,6 +178,8 @@
 
     def _admit(self, client: Stream, first: Opening) -> None:
         if self._facade.workload(first.workload) is None:
+            if first.workload in self._facade.workloads():
+                self._counters.answered("failed", first.workload)  # one that a new configuration has taken away
             raise Malformed("unknown workload")
         if first.name in self._held or self._past.get(first.name, 0) > self._now():
             # Guards against a client that takes another's name: servers turn that down, and it would count
@@ -184,6 +193,7 @@
             self._counters["logins in"] += 1
         if len(self._held) >= self._limits.clients or (self._turning_away and not first.stands_at):
             self._counters["logins bounced without room"] += 1
+            self._counters.answered("refused", first.workload)
             self._turn_away(client, BUSY)
             return
         self._waiting.pop(client, None)
@@ -211,34 +221,39 @@
             raise Malformed("absurd time to wait")
         time_limit = min(first.wait, self._facade.time_limit(first))
         ticket, decided = self._facade.pick(first, self._now() + time_limit - self._limits.answer_margin)
-        answer = FAILED
+        answer, word = FAILED, "failed"
         try:
             while isinstance(decided, Place):
                 tried = self._hand_off(client, decided, first)
                 if tried.server is not None:
                     try:
                         self._facade.report_up(ticket)
-                        answer = b""
-                        return self._connected(client, tried.server, tried.line, ticket)
+                        answer, word = b"", "served"
+                        return self._connected(client, tried.server, tried.line, ticket, first)
                     finally:
                         tried.server.close()
                 self._counters[f"hand-offs {tried.outcome.value}"] += 1
                 decided = self._facade.report(ticket, tried.outcome, tried.values)
-            answer = busy(decided.retry_in) if decided.harmless else FAILED
+            if decided.harmless:
+                answer, word = busy(decided.retry_in), "refused"
             self._counters["logins bounced" if decided.harmless else "logins terminated"] += 1
         except ClientGone:
+            word = ""
             self._counters["logins left by their client"] += 1
         except Malformed:
             answer = b""  # `_serve` turns it away
             raise
         finally:
             self._facade.report_left(ticket)
+            if word and word != "served":  # that was counted when it came up
+                self._counters.answered(word, first.workload)
             if answer:
                 self._finish(client, answer)
 
     def _stand(self, client: Stream, first: Opening) -> None:
         """Brings up a connection that stood at a server before the start: there and nowhere else."""
         until = self._now() + min(self._limits.standing_time, first.wait or self._limits.standing_time)
+        self._standing, counted = self._standing + 1, True
         try:
             while self._now() < until:
                 place = self._facade.server_named(first.stands_at)
@@ -247,14 +262,18 @@
                     if tried.server is not None:
                         try:
                             ticket = self._facade.report_carried(first, place.server)
-                            return self._connected(client, tried.server, tried.line, ticket)
+                            self._standing, counted = self._standing - 1, False
+                            return self._connected(client, tried.server, tried.line, ticket, first)
                         finally:
                             tried.server.close()
                     self._counters[f"standing connections {tried.outcome.value}"] += 1
                 self._scheduler.sleep(self._limits.standing_pause)
         except ClientGone:
             pass
+        finally:
+            self._standing -= counted
         self._counters["standing connections lost"] += 1
+        self._counters.answered("failed", first.workload)
         self._finish(client, FAILED)
 
     # One hand-off
@@ -281,6 +300,9 @@
                 return without(Outcome.NOT_CONNECTED)
         if server.failed():
             return without(Outcome.NOT_CONNECTED)
+        if not (first.stands_at or self._facade.takes_new(place.server)):
+            # Guards against a line on its way to a server that has begun to drain while it was connected to.
+            return without(Outcome.NOT_SENT)
         server.write(first.with_wait(place.cut_at - self._now()))
         while len(server.outbox):
             # The line's last byte has not left, so it has never run.
@@ -288,6 +310,7 @@
                 return without(Outcome.NOT_CONNECTED)
             self._await(client, server, WRITE, place.cut_at)
             server.flush()
+        self._counters["hand-offs written"] += 1
         while True:
             server.receive()
             try:
@@ -323,8 +346,9 @@
 
     # One connection
 
-    def _connected(self, client: Stream, server: Stream, line: bytes, ticket: Ticket) -> None:
+    def _connected(self, client: Stream, server: Stream, line: bytes, ticket: Ticket, first: Opening) -> None:
         self._counters["connections up"] += 1
+        self._counters.answered("served", first.workload)
         self._open[ticket.number] = ticket
         outcome, last = Outcome.BROKEN, b""
         try:
@@ -424,21 +448,7 @@
             self._counters["bad lines of servers (figure)"] += 1
 
     def _finish(self, client: Stream, line: bytes = b"") -> None:
-        """Writes a last line, ends, and takes in what still comes, so that no reset overtakes the line."""
-        until = self._now() + self._limits.end_time
-        if line and not client.closed and client.outbox.room >= len(line):
-            client.write(line)
-        while not client.broken and not client.closed and self._now() < until:
-            client.flush()
-            if not len(client.outbox):
-                client.end_sending()
-            client.receive()
-            client.inbox.drop(len(client.inbox))
-            mask = (0 if client.ended else READ) | (WRITE if len(client.outbox) else 0)
-            if not mask:
-                break
-            self._scheduler.wait({client.fd: mask}, until)
-        client.close()
+        see_off(self._scheduler, client, line, self._now() + self._limits.end_time)
 
     def _turn_away(self, client: Stream, line: bytes = ERR) -> None:
         """As `_finish`, for a client that is not taken in: little is read on from it, and it soon makes room.
--- a/corklift/net/upkeep.py
+++ b/corklift/net/upkeep.py
@@ -12,23 +12,16 @@
 
 from corklift.interface import Outcome, Scope
 from corklift.net.backoff import Backoff
+from corklift.net.blocking import Gone, Late, connected, send
 from corklift.net.facade import Facade, Place
 from corklift.net.limits import Counters, Limits, Printer
 from corklift.net.parsers import STATS, HttpAnswer, Malformed, http_get, listing, load_report, server_line
-from corklift.net.scheduler import READ, WRITE, Scheduler, Task
+from corklift.net.scheduler import READ, Scheduler, Task
 from corklift.net.stream import OverLong, Stream
 
 LIST = "/registry/instances"
 
 
-class Gone(Exception):
-    """The connection has ended or never stood."""
-
-
-class Late(Exception):
-    """No answer within its time."""
-
-
 class Redirected(Exception):
     """Discovery is at another address now."""
 
@@ -37,29 +30,8 @@
     """Discovery has answered, in full, that it can't tell just now."""
 
 
-def connected(scheduler: Scheduler, limits: Limits, address: tuple[str, int], until: int) -> Stream:
-    stream = Stream.connect(address, limits)
-    try:
-        while not stream.broken and not scheduler.wait({stream.fd: WRITE}, until):
-            if scheduler.now() >= until:
-                raise Late
-        if stream.failed():
-            raise Gone
-    except BaseException:
-        stream.close()
-        raise
-    return stream
-
-
-def send(scheduler: Scheduler, stream: Stream, content: bytes, until: int) -> None:
-    stream.write(content)
-    while len(stream.outbox):
-        if stream.broken:
-            raise Gone
-        if scheduler.now() >= until:
-            raise Late
-        scheduler.wait({stream.fd: WRITE}, until)
-        stream.flush()
+class Stopped(Exception):
+    """Nothing more is to be asked."""
 
 
 class Probes:
@@ -74,6 +46,7 @@
         self._tasks: dict[int, Task] = {}
         self._asked: dict[int, deque[Place]] = {}
         self._kept: dict[int, Stream] = {}
+        facade.close_probes = self.close
 
     def reconfigure(self, limits: Limits, kept_for: int) -> None:
         self._limits, self._kept_for = limits, kept_for
@@ -92,6 +65,11 @@
                 self._asked[place.server] = deque([place])
                 self._tasks[place.server] = self._scheduler.spawn(self._probe_one, place.server)
 
+    def close(self, server: int) -> None:
+        """Nothing more is asked of this server for now."""
+        if server in self._tasks:
+            self._scheduler.interrupt(self._tasks[server], Stopped())
+
     def _make_way(self) -> bool:
         """Ends the kept connection that has idled longest. Guards against servers never probed for want of one."""
         for server, asked in self._asked.items():
@@ -101,7 +79,7 @@
         return False
 
     def _probe_one(self, server: int) -> None:
-        asked = self._asked[server]
+        asked, left = self._asked[server], Outcome.BROKEN
         try:
             while True:
                 while asked:
@@ -118,11 +96,13 @@
                     return
         except Gone:
             self._counters["probe connections that made way"] += 1
+        except Stopped:
+            left = Outcome.NOT_SENT
         finally:
             self._close(server)
             del self._tasks[server], self._asked[server]
             for _ in asked:
-                self._facade.probed(server, Outcome.BROKEN, 0, None)
+                self._facade.probed(server, left, 0, None)
 
     def _close(self, server: int) -> None:
         kept = self._kept.pop(server, None)
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -64,6 +64,7 @@
         self.mixed = line.server * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
         self.zone, self.kind, self.cell, self.weight = line.zone, line.kind, line.cell, line.weight
         self.status, self.started_at, self.listed_at = line.status, line.started_at, now
+        self.ready = False  # by the list's word, and not taken out by operators'; the roster keeps it
         self.count: float | None = None
         self.pressure: float | None = None
         self.read_at = 0  # when the last report came; 0: none yet
@@ -86,12 +87,15 @@
 
 
 class Roster:
-    """The servers as the list tells of them."""
+    """The servers as the list tells of them, and those that operators have taken out: two words, neither of
+    which stands for the other."""
 
     def __init__(self) -> None:
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []
         self.version = 0  # of who is ready
+        self._out: dict[int, int] = {}  # when operators took a server out, listed or not
+        self._back: dict[int, int] = {}  # when they put back one that was not listed then
 
     def apply(self, now: int, scope: Scope, lines: Iterable[Listed]) -> tuple[list[Server], list[Server]]:
         """Takes the list in; returns (started, left): servers new or restarted, servers draining or gone."""
@@ -103,6 +107,7 @@
                 if line.status is Status.GONE:
                     continue
                 server = self.servers[line.server] = Server(line, now)
+                server.started_at = max(server.started_at, self._back.pop(line.server, 0))
                 if line.status is Status.READY:
                     started.append(server)
                 continue
@@ -125,12 +130,45 @@
                         left.append(server)
                     server.status = Status.GONE
         if started or left:
-            self.version += 1
-            self.ready = [server for server in self.servers.values() if server.status is Status.READY]
+            self._settle()
             for server in [s for s in self.servers.values() if s.status is Status.GONE and not s.open]:
                 del self.servers[server.id]
         return started, left
 
+    def _settle(self) -> None:
+        self.version += 1
+        for server in self.servers.values():
+            server.ready = server.status is Status.READY and server.id not in self._out
+        self.ready = [server for server in self.servers.values() if server.ready]
+
+    def take_out(self, now: int, server: int) -> Server | None:
+        """It drains from now on, whatever the list tells, drops or lists anew; returns it if it was ready."""
+        self._out.setdefault(server, now)
+        known = self.servers.get(server)
+        was_ready = known is not None and known.ready
+        self._settle()
+        return known if was_ready else None
+
+    def is_out(self, server: int) -> bool:
+        return server in self._out
+
+    def put_back(self, now: int, server: int) -> Server | None:
+        """Returns it if it is ready now: as one that started when the list says so, or else just now.
+
+        Its operators have restarted it in that time, so what it showed before tells nothing."""
+        out_at, known = self._out.pop(server, None), self.servers.get(server)
+        if out_at is None:
+            return None
+        if known is None:
+            self._back[server] = now
+            return None
+        if known.started_at <= out_at:
+            known.started_at = now
+        known.listed_at, known.read_at, known.count, known.pressure = now, 0, None, None
+        known.fails = known.bars = known.barred_until = known.silent = known.trial = known.full_until = 0
+        self._settle()
+        return known if known.ready else None
+
 
 class Counts:
     """Reported counts and pressures, their age, and each server's power."""
@@ -564,7 +602,7 @@
         rest: list[Server] = []
         # Guards against CPU that grows with the fleet for each login: the walk ends with the first few.
         for server in order:
-            if (server.status is Status.READY and now >= server.full_until and allowed(server)
+            if (server.ready and now >= server.full_until and allowed(server)
                     and (not server.delay or not self._late(now, server, 0.5))
                     and (not server.started_at or self._cold.allows(now, server, held, self._rng))):
                 doubted = server.fails or server.silent
@@ -607,7 +645,7 @@
             further = ASK_FIRST << held.round if held.round > 1 else 0
             if further or not held.able:
                 held.able = self._in_order(now, held, allowed, number + further)
-            able = [s for s in held.able if s.status is Status.READY]  # a drain may have come
+            able = [s for s in held.able if s.ready]  # a drain may have come
             homes = able[:number]
             held.some = held.some or self._rng.sample(homes, min(len(homes), ASK_FIRST))
             first = able if held.round else held.some
@@ -863,7 +901,7 @@
 
     def _schedule(self, server: Server, turn: int, wait: int) -> None:
         def due(now: int) -> None:
-            if server.status is Status.READY and server.probing == turn and not self._counts.some_only:
+            if server.ready and server.probing == turn and not self._counts.some_only:
                 self.ask(now, server)
                 calm = (server.pressure is not None and server.pressure < CALM and not server.silent
                         and not self._cold.is_cold(now, server))
@@ -873,7 +911,7 @@
     def _exchange(self, now: int) -> None:
         """Exchanges one of the servers probed for another at random, often for one that holds own ones."""
         size = self._means.probed(now, len(self._roster.ready))
-        kept = [server for server in self._some if server.status is Status.READY]
+        kept = [server for server in self._some if server.ready]
         self._rng.shuffle(kept)
         self._some = kept[:size - 1]
         others = [server for server in self._roster.ready if server not in self._some]
@@ -886,7 +924,7 @@
             self._after(int(self._rng.random() * AGE_LIMIT), lambda at, server=server: self.ask(at, server))
 
     def ask(self, now: int, server: Server) -> None:
-        if server.status is Status.READY and self._allowed:
+        if server.ready and self._allowed:
             server.asked_at = server.probed_at = now
             self._host.probe(server.id)
 
@@ -1056,7 +1094,7 @@
                 self._moves.cool(now, known)
         elif outcome in (Outcome.TIMED_OUT, Outcome.NOT_CONNECTED, Outcome.BROKEN):
             known.silent += 1
-            if known.silent < SILENT_IN_ROW and known.status is Status.READY:
+            if known.silent < SILENT_IN_ROW and known.ready:
                 self._probing.ask(now, known)
             # Guards against emptying a server that is only too busy to answer: that one is given longer.
             elif known.silent == (SILENT_IN_ROW if (known.pressure or 0.0) < HOT else 2 * SILENT_IN_ROW):
@@ -1074,11 +1112,30 @@
             self._list.failures = 0
         started, left = self._roster.apply(now, scope, lines)
         for server in left:
-            self._cut += [now] * int(server.count or 0)  # other balancers' clients there come back alike
-            self._moves.evacuate(server, "drains" if server.status is Status.DRAINING else "is gone")
+            self._leave(now, server, "drains" if server.status is Status.DRAINING else "is gone")
         self._probing.started(not self._listed, started)
         self._listed = True
 
+    def server_out(self, now: int, server: int) -> None:
+        """Operators take it out, listed or not: it drains until `server_back`, whatever the list says meanwhile."""
+        known = self._roster.take_out(now, server)
+        if known is not None:
+            self._leave(now, known, "is taken out by hand")
+        self._host.close_idle(server)  # its work is to end, probes with it
+
+    def server_back(self, now: int, server: int) -> None:
+        known = self._roster.put_back(now, server)
+        if known is not None:
+            self._host.log(f"server {server} is put back by hand: taken as just started")
+            self._probing.started(False, [known])
+
+    def known_and_avoided(self, now: int) -> tuple[int, int]:
+        """How many servers are listed, and how many of them get nothing by operators' or by this balancer's word."""
+        listed = [server for server in self._roster.servers.values() if server.status is not Status.GONE]
+        return len(listed), sum(1 for server in listed if server.status is Status.READY
+                                and not (server.ready and self._health.in_draw(now, server))
+                                or self._roster.is_out(server.id))
+
     def chances(self, now: int, workload: int, span: int = 0) -> dict[int, float]:
         """Each server's chance in the draw of a login of this workload that came now; empty: it is refused.
 
@@ -1111,6 +1168,10 @@
         if action is not None:
             action(now)
 
+    def _leave(self, now: int, server: Server, why: str) -> None:
+        self._cut += [now] * int(server.count or 0)  # other balancers' clients there come back alike
+        self._moves.evacuate(server, why)
+
     def _after(self, wait: int, action: Callable[[int], None]) -> None:
         mark = self._next_mark
         self._next_mark += 1
@@ -1155,7 +1216,7 @@
         if not held.login.mid_flow or held.attempts:
             return None
         server = self._roster.servers.get(self._where.get(held.login.subject, 0))
-        ready = server and server.status is Status.READY and self._cold.allows(now, server, held, self._rng)
+        ready = server and server.ready and self._cold.allows(now, server, held, self._rng)
         return server if ready else None
 
     def _judge(self, now: int, server: Server, login: int, outcome: Outcome) -> None:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -151,7 +151,7 @@
 
     START = 1_700_000_000_000 * MS
 
-    def __init__(self, *servers, limits=None, known=True, seed="5", **settings) -> None:
+    def __init__(self, *servers, limits=None, known=True, seed="5", more=None, **settings) -> None:
         self.now = self.START
         self.lines: list[str] = []
         self.behaviour = {f"s{number}": act for number, act in enumerate(servers, 1)}
@@ -172,7 +172,7 @@
                 "family-info": {"report-x0": "load over what it can do", "tells-delay": True,
                                 "message-aim-ns": [100 * MS]},
                 "permissions": {"probes": True, "max-hand-offs": 3, "connect-timeout-ns": 200 * MS,
-                                "keepalive-ns": 5000 * MS}} | settings}
+                                "keepalive-ns": 5000 * MS}} | settings} | (more or {})
         self.process = Process(self.config, lambda: self.now, VirtualPoll(self))
         self.limits, self.counters = self.process.limits, self.process.counters
         self.seconds: list[str] = []  # the lines that sum up a second; the traces hold what they sum up
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,222 @@
+"""Operators' calls: the parser in any split, the desk's answers, a door that others can't hold, and the figures' truth."""
+
+import json
+from random import Random
+
+import pytest
+from scene import MS, Scene, Wire
+
+from corklift.interface import ColdRule, Outcome, Report, Scope, Status, Workload
+from corklift.net.parsers import HttpCall, Malformed, TooLong
+from corklift.net.scheduler import READ, WRITE
+from corklift.net.stream import Stream
+
+OPEN = "OPEN 1 7f c=plain,d=2000,x=9\r\n"
+
+
+def post(path, content, head=""):
+    body = content if isinstance(content, str) else json.dumps(content)
+    return f"POST {path} HTTP/1.1\r\nHost: x\r\n{head}Content-Length: {len(body)}\r\n\r\n{body}"
+
+
+def get(path, method="GET"):
+    return f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Operated(Wire):
+    """A balancer that operators may call; `call` keeps status and body of an answer and when it came."""
+
+    def __init__(self, *servers, **settings):
+        super().__init__(*servers, more={"admin_addr": "127.0.0.1:0"}, **settings)
+        self.answers = {}
+
+    def call(self, name, *steps):
+        stream = Stream.connect(("127.0.0.1", self.process.admin_port), self.limits)
+
+        def run():
+            self.wait({stream.fd: WRITE})
+            for step in steps:
+                if isinstance(step, int):
+                    self.sleep(step * MS)
+                elif not stream.broken:
+                    stream.write(step.encode())
+            got = b""
+            while not stream.ended and not stream.broken:
+                self.wait({stream.fd: READ})
+                stream.receive()
+                got += stream.inbox.take(len(stream.inbox))
+            stream.close()
+            head, _, body = got.partition(b"\r\n\r\n")
+            self.answers[name] = (int(head.split()[1]) if head else 0, body.decode(), (self.now - self.START) // MS)
+        self.spawn(run)
+
+    def ask(self, text, ms=50):
+        self.call("ask", text)
+        self.run(ms)
+        return self.answers.pop("ask")[:2]
+
+    def figures(self):
+        status, text = self.ask(get("/admin/stats"))
+        assert status == 200
+        return {line.split(":")[0]: int(line.split(":")[1].split("|")[0]) for line in text.splitlines()}
+
+
+def test_a_call_is_read_alike_in_any_split():
+    whole = [post("/admin/cordon", {"member": "s1"}).encode(), get("/admin/stats?x=1").encode(),
+             b'POST /admin/cordon HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{"mem\r\nb\r\nber": "s1"}\r\n0\r\n\r\n']
+    rng, seen = Random(1), set()
+    for content in whole:
+        for _ in range(50):
+            call, at = HttpCall(1000), 0
+            while not call.done:
+                step = rng.randrange(1, 9)
+                call.feed(content[at:at + step])
+                at += step
+            seen.add((call.method, call.path, json.dumps(call.table()) if call.method == "POST" else ""))
+    assert seen == {("POST", "/admin/cordon", '{"member": "s1"}'), ("GET", "/admin/stats", "")}
+    for bad, kind in ((b"GET / HTTP/2\r\n\r\n", Malformed), (b"OPEN 1 2 c=x\r\n\r\n", Malformed),
+                      (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", Malformed), (b"x" * 20000, TooLong),
+                      (b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", TooLong)):
+        with pytest.raises(kind):
+            HttpCall(1000).feed(bad)
+
+
+def test_each_call_has_its_answer_and_one_that_is_wrong_changes_nothing():
+    wire = Operated("up", "up")
+    assert wire.ask(get("/admin/health"))[0] == 503  # no list and no count has come
+    wire.run(2000)
+    assert wire.ask(get("/admin/health"))[0] == 200
+    for text, status in ((get("/admin"), 404), (get("/admin/cordon"), 405), (get("/admin/health", "POST"), 405),
+                         (post("/admin/cordon", "{"), 400), (post("/admin/cordon", {"member": 3}), 400),
+                         (post("/admin/cordon", ["s1"]), 400), (post("/admin/cordon", {"member": "nobody"}), 404),
+                         (post("/admin/uncordon", {"member": "nobody"}), 404), (OPEN + "\r\n", 400),
+                         (post("/admin/cordon", "", "Content-Length: 20000\r\n").replace("Content-Length: 0\r\n", ""), 413), ("PING\r\n\r\n", 400),
+                         (post("/admin/cordon", {"member": "s1"}), 200), (post("/admin/uncordon", {"member": "s2"}), 200)):
+        assert wire.ask(text)[0] == status, text
+    assert wire.figures()["app.servers_excluded"] == 1
+    wire.client("c1", get("/admin/health"))  # and clients' door does not know calls
+    wire.run(100)
+    assert [line[7:] for line in wire.lines if " c1" in line] == ["c1 < ERR", "c1 ended"]
+
+
+def test_callers_who_hold_their_connection_delay_nobody_and_lose_it():
+    wire = Operated("up", limits={"sockets": 256})
+    for number in range(60):
+        wire.call(f"mute{number}", *([post("/admin/cordon", {"member": "s1"})[:40]] if number % 2 else []), 4000)
+    wire.call("hesitant", post("/admin/cordon", "", "Expect: 100-continue\r\n").replace("Length: 0", "Length: 15"), 100,
+              '{"member":"s1"}')
+    wire.run(2000)
+    began = wire.now
+    for number in range(20):
+        wire.call(f"good{number}", get("/admin/health"))
+        wire.run(20)
+    assert all(wire.answers[f"good{number}"][0] == 200 for number in range(20))
+    assert max(wire.answers[f"good{number}"][2] for number in range(20)) * MS + wire.START - began < 500 * MS
+    wire.run(8000)
+    assert wire.answers["hesitant"][0] == 100 and "s1 is out" in wire.answers["hesitant"][1]
+    assert len(wire.answers) == 81 and not wire.process.admin._callers and not wire.counters["exceptions"]
+
+
+def test_the_figures_are_those_of_what_happened_however_connections_end():
+    # Random histories: each kind of server, clients that leave at any step, a crowd beyond what can be held.
+    for seed in range(4):
+        rng, wire = Random(seed), Operated("up", "up", limits={"sockets": 90, "memory_mb": 64})
+        wire.run(2000)
+        for number in range(70):
+            wire.behaviour["s1"] = rng.choice(["up", "busy", "err", "reset", "silent"])
+            end = rng.choice([(), (None,), (rng.randrange(1500), None), (rng.randrange(1500), ...), ("quit\r\n",)])
+            wire.client(f"c{number}", rng.randrange(200), OPEN, *(rng.randrange(1500) for _ in range(2)), *end)
+            wire.run(rng.randrange(150))
+            held = len(wire.process.relay._held)  # with those whose end is still seen out
+            assert held - 6 <= wire.process.relay.in_flight <= held
+        wire.run(4000)
+        got, said = wire.figures(), [line.split(" < ")[1].split()[0] for line in wire.lines if " < " in line
+                                     and line.split()[1].startswith("c")]
+        left = wire.counters["logins left by their client"]
+        assert got["app.served.plain"] - said.count("UP") in range(left + 3)
+        assert 0 <= got["app.refused.plain"] - said.count("BUSY") <= 2
+        assert -left <= got["app.failed.plain"] - said.count("FAILED") <= 2
+        assert got["app.attempts"] == len([line for line in wire.lines if " < OPEN" in line and "s1" in line
+                                           or " < OPEN" in line and "s2" in line])
+        wire.process.leave()
+        wire.process.scheduler.run()
+        assert wire.process.relay.in_flight == 0 and not wire.counters["exceptions"]
+
+
+def test_a_server_taken_out_gets_nothing_until_it_is_put_back_whatever_the_list_says():
+    wire = Operated("up", "up")
+    wire.run(2000)
+    for number in range(6):
+        wire.client(f"c{number}", OPEN)
+    wire.run(200)
+    assert {line.split()[-1] for line in wire.lines if "< UP" in line} == {"s1", "s2"}
+    assert wire.ask(post("/admin/cordon", {"member": "s1"}))[0] == 200
+    assert wire.ask(post("/admin/cordon", {"member": "s1"}))[0] == 200
+    wire.run(300)
+    assert any("< MOVE" in line for line in wire.lines)
+    wire.lines.clear()
+    probes = wire.process.probes._tasks
+    for change in ("leaving", "active", "left", "active"):
+        wire.change(wire.entry("s1", change))
+        wire.run(1500)
+        assert len(probes) == 1  # it is not probed either
+        for number in range(4):
+            wire.client(f"{change}{number}", OPEN)
+        wire.run(300)
+    wire.change(wire.entry("s1", "left"))
+    wire.run(100)
+    assert {line.split()[-1] for line in wire.lines if "< UP" in line} == {"s2"}
+    assert wire.figures()["app.servers_known"] == 1 and wire.figures()["app.servers_excluded"] == 0
+    assert wire.ask(post("/admin/uncordon", {"member": "s1"}))[0] == 200
+    wire.change(wire.entry("s1"))
+    wire.run(1500)
+    assert wire.process.facade._balancer._roster.servers.keys() == wire.process.facade._ready
+    wire.lines.clear()
+    for number in range(12):
+        wire.client(f"b{number}", OPEN)
+        wire.run(300)
+    assert {line.split()[-1] for line in wire.lines if "< UP" in line} == {"s1", "s2"}
+    for name in ("s1", "s2"):
+        assert wire.ask(post("/admin/cordon", {"member": name}))[0] == 200
+    wire.lines.clear()
+    wire.client("last", OPEN)
+    wire.run(50)
+    assert [line.split()[-1] for line in wire.lines if " last < " in line] == ["BUSY"]
+
+
+def test_a_hand_off_on_its_way_is_not_written_to_a_server_taken_out_meanwhile():
+    wire = Operated("up")
+    wire.run(2000)
+    real = wire.process.facade.takes_new
+    wire.process.facade.takes_new = lambda server: wire.process.facade.take_out("s1") and real(server)
+    wire.client("c1", OPEN)
+    wire.run(300)
+    assert not any("s1 < OPEN" in line for line in wire.lines) and any("c1 < BUSY" in line for line in wire.lines)
+    assert wire.counters["hand-offs not sent"] == 1 and not wire.counters["hand-offs written"]
+
+
+def test_a_server_put_back_is_cold_by_the_start_that_is_known_or_else_by_its_return():
+    for restart, listed_late, cold_for in ((None, False, 9000), (500, False, 7500), (500, True, 9000)):
+        scene = Scene(cold=ColdRule(0.3, 9000 * MS, 3.0, 1000 * MS), workloads=[Workload("plain", 1.0, 800 * MS, 3200 * MS)])
+        scene.listed(1, 2)
+        scene.auto = {1: Report(5, 0.2), 2: Report(5, 0.2)}
+        scene.run(3000)
+        scene.balancer.server_out(scene.now, 1)
+        assert scene.login(1) == 2
+        scene.ends(1, Outcome.FULFILLED, closed=True)
+        if restart:
+            scene.run(restart)
+            started = scene.now
+            if not listed_late:
+                scene.listed(1, scope=Scope.DELTA, started_at=started)
+        scene.run(2000 - (restart or 0))
+        scene.balancer.server_back(scene.now, 1)
+        if listed_late:
+            scene.listed(1, scope=Scope.DELTA, started_at=started)
+        balancer = scene.balancer
+        known = balancer._roster.servers[1]
+        assert known.status is Status.READY and known.count is None
+        for at in range(0, 12_000, 500):
+            assert balancer._cold.is_cold(scene.now, known) is (at < cold_for), at
+            scene.run(500)
+        assert balancer.known_and_avoided(scene.now) == (2, 0)
