A second process of one balancer follows the first on the inherited socket

`$BALANCER_LISTEN_FD` is taken as the clients' door. Each process of a balancer has a generation and two small files in a folder of its own name under $TMPDIR: a locked one that shows that it lives and one that tells stage, clients held, operators' words and, once it yields, what it learned. `succession.py` is the rule, pure: the latest that is ready takes clients, once each earlier one that lives has yielded; where the later one dies, the earlier one goes on. So one process at a time places logins, has the cold budget and the pace of probes; the rest of a budget, sizes, failures, homes of groups and the rate of logins go over with `learned` and `follow`. Rejected: both place and halve budgets and rates until SIGTERM: two halves of a cold budget under one connection are rounded by chance twice, each sees half of a flood, and the old one's new connections would all have to be moved. Rejected: handing the connections' sockets over: that wants a Unix socket.

Operators' words are numbered and merged by number, told before the call is answered, heard by the other within 50 ms and kept for whoever starts next, also after a crash. At SIGTERM with an inherited socket nothing more is accepted and moves begin at once: who waits in the queue is the next process's.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -16,8 +16,10 @@
 from corklift.interface import NoteKind, Scope
 from corklift.net.admin import Admin, Desk, figures
 from corklift.net.facade import Facade
+from corklift.net.kin import folder
 from corklift.net.limits import MS, SECOND, BadConfig, Counters, Limits, Printer, Seconds, allow_sockets, need
 from corklift.net.parsers import Listing, Malformed, listing
+from corklift.net.overlap import Overlap
 from corklift.net.relay import Relay
 from corklift.net.scheduler import WRITE, Scheduler, wall_clock
 from corklift.net.stream import Stream
@@ -56,6 +58,22 @@
         raise BadConfig(f"config: BALANCER_CONFIG: {problem}") from None
 
 
+def inherited(text: str) -> socket.socket:
+    """The listening socket that this process was started with."""
+    problem: object = "is no number"
+    if text.isascii() and text.isdecimal():
+        try:
+            sock = socket.socket(fileno=int(text))
+            if sock.family == socket.AF_INET and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                sock.setblocking(False)
+                return sock
+            sock.detach()
+            problem = "is no listening socket over IPv4"
+        except (OSError, OverflowError) as found:
+            problem = found
+    raise BadConfig(f"environment: BALANCER_LISTEN_FD holds {text!r:.40}: {problem}")
+
+
 class Configuration(NamedTuple):
     """All that the file tells, read and checked before any of it is used."""
 
@@ -123,7 +141,12 @@
         self.facade = Facade(scheduler, given.seed, given.arguments, given.report_names, given.told,
                              given.localities, given.kinds, limits.settle_time, self.printer.say, self.counters)
         self.relay = Relay(scheduler, limits, self.counters, self.facade)
-        self.port = self.relay.listen(given.listen)
+        listen_fd = os.environ.get("BALANCER_LISTEN_FD", "")
+        self.port = self.relay.share(inherited(listen_fd)) if listen_fd else self.relay.listen(given.listen)
+        self._shares = bool(listen_fd)
+        name = os.environ.get("BALANCER_NAME") or "%s:%d" % given.listen
+        self.overlap = Overlap(scheduler, limits, self.counters, lambda text: self.printer.say(text, always=True),
+                               self.facade, self.relay, folder(os.environ.get("TMPDIR"), name), self._shares)
         self.probes = Probes(scheduler, limits, self.counters, self.facade, given.kept_for)
         self.watch = Watch(scheduler, limits, self.counters, self.printer, self.facade, given.discovery,
                            Random(given.seed ^ 1),
@@ -136,9 +159,11 @@
         scheduler = self.scheduler
         printing = scheduler.spawn(self._keep_printing)
         self.printer.wake = lambda: scheduler.wake(printing)
+        self.overlap.join()
         self.facade.listed(Scope.CACHED, self._configuration.known)
         for job in (self.facade.keep_ticking, self.probes.keep_probing, self.watch.keep_watching,
-                    self.admin.keep_accepting, self.relay.keep_accepting, self._get_ready, self._keep_telling):
+                    self.admin.keep_accepting, self.relay.keep_accepting, self._get_ready, self._keep_telling,
+                    self.overlap.keep_looking):
             scheduler.spawn(self._keep, job)
 
     def _keep(self, job: Callable[[], None]) -> None:
@@ -158,7 +183,7 @@
         old = self._configuration
         try:
             new = Configuration.of(_read(os.environ.get("BALANCER_CONFIG")), self._admin_told)
-            if new.listen != old.listen and not self._stopping:
+            if new.listen != old.listen and not self._stopping and not self._shares:
                 self.port = self.relay.listen(new.listen)
             if new.admin != old.admin and new.admin is not None:
                 self.admin_port = self.admin.listen(new.admin)
@@ -182,17 +207,17 @@
     # What operators ask and tell
 
     def serves(self) -> bool:
-        return self.relay.serves and not self._stopping
+        return self.relay.serves and self.overlap.serves and not self._stopping
 
     def figures(self) -> str:
         known, avoided = self.facade.known_and_avoided()
         return figures(self.counters, self.facade.workloads(), self.relay.in_flight, known, avoided)
 
     def take_out(self, name: str) -> bool:
-        return self.facade.take_out(name)
+        return self.overlap.take_out(name)
 
     def put_back(self, name: str) -> bool:
-        return self.facade.put_back(name)
+        return self.overlap.put_back(name)
 
     def run(self, early: Sequence[int] = ()) -> None:
         """Serves until told to stop; `early` holds the signals to reload that came while it was put together."""
@@ -226,6 +251,7 @@
         if not self._stopping:
             self._stopping = True
             self.printer.say("told to stop")
+            self.overlap.leave()
             self.scheduler.spawn(self._see_out)
 
     def _see_out(self) -> None:
--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -208,9 +208,7 @@
         server = self._server_id(name)
         if server not in self._listed and server not in self._out:
             return False
-        if server not in self._out:
-            self._out[server] = name
-            self._balancer.server_out(self._scheduler.now(), server)
+        self.word_of(name, True)
         return True
 
     def put_back(self, name: str) -> bool:
@@ -221,6 +219,15 @@
             return True
         return server in self._listed
 
+    def word_of(self, name: str, out: bool) -> None:
+        """Another process of this balancer has been told: the same holds here, listed or not."""
+        if not out:
+            self.put_back(name)
+        elif self._server_id(name) not in self._out:
+            server = self._server_id(name)
+            self._out[server] = name
+            self._balancer.server_out(self._scheduler.now(), server)
+
     def known_and_avoided(self) -> tuple[int, int]:
         return self._balancer.known_and_avoided(self._scheduler.now())
 
@@ -228,6 +235,21 @@
         """Whether it has not begun to drain, by the list's word or operators'."""
         return server in self._ready and server not in self._out
 
+    # What goes over to another process of this balancer
+
+    def learned(self) -> dict[str, Any]:
+        return self._balancer.learned(self._scheduler.now())
+
+    def follow(self, learned: dict[str, Any]) -> None:
+        """Takes over what an earlier process has learned; what can't be read of it is left."""
+        try:
+            self._balancer.follow(self._scheduler.now(), learned)
+        except (TypeError, ValueError, KeyError, AttributeError, OverflowError) as problem:
+            self._log(f"what an earlier process has learned can't be read: {problem!r:.100}")
+
+    def stand_by(self, wanted: bool) -> None:
+        self._balancer.stand_by(wanted)
+
     # What upkeep calls
 
     def listed(self, scope: Scope, content: Listing) -> None:
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -64,6 +64,7 @@
     first_call_spread: int = 0  # over which a start with a known list first asks what is new, where it must ask
     ready_time: int = 1500 * MS  # after which a start without discovery or counts serves all the same
     stop_accepting: int = 500 * MS  # after SIGTERM: clients still come until then
+    look_pause: int = 50 * MS  # between looks at what other processes of this balancer tell
     calls: int = 0  # connections of operators at a time
     call: int = 16384  # bytes of an operator's call beside its head
     call_time: int = 5 * SECOND  # for an operator's whole call to come
--- /dev/null
+++ b/corklift/net/overlap.py
@@ -0,0 +1,128 @@
+"""Keeps this process in step with the others of its balancer: who takes clients, and who is out by operators' word.
+
+Owns this process's place among them. Must never take clients beside another one that does, wait for another process with
+a client at hand, or answer an operator before the word is written where the next process finds it.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+
+from corklift.net.facade import Facade
+from corklift.net.kin import Kin
+from corklift.net.limits import Counters, Limits
+from corklift.net.relay import Relay
+from corklift.net.scheduler import Scheduler
+from corklift.succession import Life, Stage, Succession
+
+
+class Overlap:
+    def __init__(self, scheduler: Scheduler, limits: Limits, counters: Counters, log: Callable[[str], None],
+                 facade: Facade, relay: Relay, path: str | None, shares: bool) -> None:
+        """`path`: where the processes meet, if anywhere; `shares`: whether the clients' socket is shared with them."""
+        self._scheduler, self._limits, self._counters, self._log = scheduler, limits, counters, log
+        self._facade, self._relay, self._path, self._shares = facade, relay, path, shares
+        self._kin: Kin | None = None
+        self._place = Succession(0)
+        self._learned: dict[str, object] = {}
+        self._held = 0  # as last told
+        self._others_live = True  # until a look has shown it
+
+    @property
+    def serves(self) -> bool:
+        return not self._shares or self._place.stage in (Stage.SERVING, Stage.YIELDED)
+
+    def join(self) -> None:
+        """Takes in what earlier processes were told, before any login."""
+        if not (self._shares or self._path and os.path.isdir(self._path)) or not self._enter():
+            self._shares = False  # alone, as far as can be known
+            return
+        living, ended = self._kin.others()
+        self._take_words(living + ended)
+        self._tell()
+        self._kin.forget(ended)
+
+    def keep_looking(self) -> None:
+        """Where the clients' socket is shared: follows an earlier process, and yields to a later one."""
+        while self._shares and self._kin is not None:
+            self._look()
+            self._scheduler.sleep(self._limits.look_pause)
+
+    def take_out(self, name: str) -> bool:
+        if not self._facade.take_out(name):
+            return False
+        self._say(name, True)
+        return True
+
+    def put_back(self, name: str) -> bool:
+        if not self._facade.put_back(name):
+            return False
+        if name in self._place.out():
+            self._say(name, False)
+        return True
+
+    def leave(self) -> None:
+        """Told to stop: whoever follows need not wait for this one."""
+        self._place.leave()
+        if self._shares and self._kin is not None:
+            self._relay.take_clients(False)
+            self._tell()
+
+    # Within
+
+    def _enter(self) -> bool:
+        if self._kin is None and self._path is not None:
+            try:
+                self._kin = Kin(self._path, self._log)
+                stage, words = self._place.stage, self._place.words
+                self._place = Succession(self._kin.generation)
+                self._place.stage, self._place.words = stage, words
+            except OSError as problem:
+                self._path = None
+                self._log(f"words of operators end with this process: {problem}")
+        return self._kin is not None
+
+    def _say(self, name: str, out: bool) -> None:
+        if self._enter():
+            self._place.say(name, out)
+            self._tell()
+
+    def _tell(self) -> None:
+        if self._kin is not None:
+            self._held = self._relay.held
+            try:
+                self._kin.tell(Life(self._place.generation, self._place.stage, self._held, self._place.words,
+                                    self._learned))
+            except OSError as problem:
+                self._counters["files that can't be written"] += 1
+                self._log(f"what this process tells the next can't be written: {problem}")
+
+    def _take_words(self, lives: list[Life]) -> None:
+        for name, out in sorted(self._place.hear(lives).items()):
+            self._facade.word_of(name, out)
+
+    def _look(self) -> None:
+        assert self._kin is not None
+        if not self._kin.changed() and not self._others_live and self._place.stage is Stage.SERVING:
+            return  # alone, as before
+        living, ended = self._kin.others()
+        self._others_live = bool(living)
+        self._take_words(living + ended)
+        self._relay.held_elsewhere = sum(life.held for life in living)
+        while self._place.step(living, self._relay.ready):
+            self._change(living)
+            self._tell()
+            living, _ = self._kin.others()
+        if living and self._held != self._relay.held:
+            self._tell()
+
+    def _change(self, living: list[Life]) -> None:
+        stage = self._place.stage
+        self._log(f"process {self._place.generation} of this balancer is {stage.value}")
+        self._relay.take_clients(stage is Stage.SERVING)
+        if stage is Stage.SERVING:
+            for life in sorted(living, key=lambda life: life.generation):
+                self._facade.follow(life.learned)
+        self._learned = self._facade.learned() if stage is Stage.YIELDED else {}
+        self._facade.stand_by(stage is Stage.YIELDED)
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -51,6 +51,8 @@
         self._past: dict[str, int] = {}  # names of those that have ended, oldest first, and until when they are known
         self._open: dict[int, Ticket] = {}
         self._turning_away = False
+        self._taking = self._shared = False  # clients are taken in; from a socket that other processes share
+        self.held_elsewhere = 0  # clients that other processes of this balancer hold
         self._standing = 0  # connections of before the start that are being brought up
 
     @property
@@ -62,11 +64,28 @@
     def serves(self) -> bool:
         return self.ready and not self._turning_away
 
+    @property
+    def held(self) -> int:
+        return len(self._held)
+
     # The door
 
     def listen(self, address: tuple[str, int]) -> int:
         """Opens the door at once, so that no client is refused while the rest starts; returns its port."""
-        sock = door(address)
+        return self._listen(door(address))
+
+    def share(self, sock: socket.socket) -> int:
+        """The door is a socket that is held for this process; clients stay in its queue until they are taken."""
+        self._shared = True
+        return self._listen(sock)
+
+    def take_clients(self, wanted: bool) -> None:
+        """Whether clients are taken in, or left for another process of this balancer, where the door is shared."""
+        self._taking = wanted
+        if self._acceptor is not None:
+            self._scheduler.wake(self._acceptor)
+
+    def _listen(self, sock: socket.socket) -> int:
         self._listeners.append(sock)
         if self._acceptor is not None:
             self._scheduler.wake(self._acceptor)
@@ -79,7 +98,12 @@
     def keep_accepting(self) -> None:
         self._acceptor = self._scheduler.current
         while True:
+            if self._shared and not self._taking:
+                self._scheduler.wait({})
+                continue
             got = self._scheduler.wait({listener.fileno(): READ for listener in self._listeners})
+            if self._shared and not self._taking:
+                continue
             if len(self._waiting) >= self._limits.waiting:
                 self._make_room()
                 continue
@@ -191,7 +215,7 @@
             self._counters["standing connections in"] += 1
         else:
             self._counters["logins in"] += 1
-        if len(self._held) >= self._limits.clients or (self._turning_away and not first.stands_at):
+        if len(self._held) + self.held_elsewhere >= self._limits.clients or (self._turning_away and not first.stands_at):
             self._counters["logins bounced without room"] += 1
             self._counters.answered("refused", first.workload)
             self._turn_away(client, BUSY)
@@ -475,12 +499,15 @@
     def stop(self) -> None:
         """Serves on while clients still come, then moves all connections, spread out; ends when none is left."""
         began = self._now()
-        self._scheduler.sleep(self._limits.stop_accepting)
-        self._turning_away = True
+        if self._shared:
+            self.take_clients(False)  # who is in the queue is the next process's
+        accepting = 0 if self._shared else self._limits.stop_accepting
+        self._scheduler.sleep(accepting)
+        self._turning_away = not self._shared
         moving, most = self._limits.stop_moving, 0
         while self._now() < began + self._limits.stop_time and (self._held or self._waiting):
             still = sorted(number for number, ticket in self._open.items() if not ticket.to_move)
-            left = max(0, began + self._limits.stop_accepting + moving - self._now())
+            left = max(0, began + accepting + moving - self._now())
             # Over all the time there is, slowly at first. Guards against a flood at those who take them in, and
             # against clients sent away while a balancer that was stopped before this one is not back yet.
             most = max(most, len(still))
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -365,6 +365,12 @@
         """The most logins that others told of in one of the last seconds: a flood is seen at once."""
         return max((held for at, held in self._told.items() if at > now // SECOND - 3), default=0)
 
+    def learned(self, now: int) -> tuple[float, int]:
+        return self._fade(now), self._began
+
+    def follow(self, now: int, seen: float, began: int) -> None:
+        self._seen, self._at, self._began = self._fade(now) + float(seen), now, min(self._began, int(began))
+
     def _fade(self, now: int) -> float:
         return self._seen * 0.5 ** ((now - self._at) / RATE_TIME)
 
@@ -403,6 +409,7 @@
 
     def __init__(self, counts: Counts, means: Means) -> None:
         self._counts, self._means = counts, means
+        self.stands_by = False  # another process of this balancer places its logins
 
     def take_settings(self, rule: ColdRule, balancers: int) -> None:
         self._rule, self._share = rule, COLD_CARE / balancers
@@ -433,8 +440,8 @@
 
     def chance(self, now: int, server: Server, held: Held) -> float:
         """The chance that the budget lets this login take part in the draw of the server."""
-        if not self.is_cold(now, server):
-            return 1.0
+        if self.stands_by or not self.is_cold(now, server):
+            return float(not self.is_cold(now, server))
         spent, part = self._level(now, server)
         most = max(1.0, part)
         if spent + min(held.load, most) > most + 1e-9:
@@ -463,10 +470,13 @@
         left = max(0.0, part - spent + part * span / self._rule.span) * UNASKED
         return min(share * self._rule.multiple, left / logins)
 
+    def spent(self, now: int, server: Server) -> float:
+        return self._level(now, server)[0] if self.is_cold(now, server) else 0.0
+
     def spend(self, now: int, server: Server, load: float) -> None:
         if self.is_cold(now, server):
             self._refill(now, server)
-            server.cold_spent += max(1.0, load)
+            server.cold_spent += load
 
 
 class Draw:
@@ -476,7 +486,7 @@
         self._rng, self._roster, self._counts, self._health, self._cold = rng, roster, counts, health, cold
         self.group_load: dict[int, int] = {}  # own open connections of each group
         self.total_load = 0
-        self._homes: dict[int, int] = {}  # where a group's last connection was opened
+        self.homes: dict[int, int] = {}  # where a group's last connection was opened
         self._orders: dict[tuple[int, bool], list[Server]] = {}  # of the ready servers, for a group
         self._orders_of = 0
         self._full_until = 0  # until then a login is not asked for beyond its homes
@@ -698,7 +708,7 @@
         """As many servers as the group's load needs, those that hold most of it first, room or not."""
         share = self.group_load.get(group, 0) / self.total_load if self.total_load else 0.0
         need = share * GROUP_SPREAD * sum(server.power for server in self._roster.ready)
-        last = self._homes.get(group)
+        last = self.homes.get(group)
         return _enough(sorted(self._roster.ready, key=lambda s: (-s.groups.get(group, 0), s.id != last,
                                                                  _rank(group, s))), need)
 
@@ -713,7 +723,7 @@
         if not group:
             return
         if sign > 0 and server is not None:
-            self._homes[group] = server.id
+            self.homes[group] = server.id
         for counts in (self.group_load, server.groups if server is not None else {}):
             load = counts.get(group, 0) + sign
             if load > 0:
@@ -996,7 +1006,8 @@
         shortest = min((w.message_limit for w in workloads if w.message_limit), default=0)
         self._draw.take_settings(grouped, zone, crossing_price, shortest, reserves)
         self._hand_offs.take_settings(workloads, max_hand_offs)
-        self._probing.take_settings(probes_allowed)
+        self._probes_allowed = probes_allowed
+        self._probing.take_settings(probes_allowed and not self._cold.stands_by)
         if ask_for_list and self._list is None:
             self._after(int(self._rng.random() * PROBE_PERIOD), lambda _: self._host.watch_list(True))
         self._list = (self._list or ListFollowing(self._rng, ask_within)) if ask_for_list else None
@@ -1117,7 +1128,7 @@
         self._listed = True
 
     def server_out(self, now: int, server: int) -> None:
-        """Operators take it out, listed or not: it drains until `server_back`, whatever the list says meanwhile."""
+        """Operators take it out, listed or not: it drains until `server_back`, whatever the list says."""
         known = self._roster.take_out(now, server)
         if known is not None:
             self._leave(now, known, "is taken out by hand")
@@ -1130,12 +1141,39 @@
             self._probing.started(False, [known])
 
     def known_and_avoided(self, now: int) -> tuple[int, int]:
-        """How many servers are listed, and how many of them get nothing by operators' or by this balancer's word."""
+        """How many servers are listed, and how many of them are out by operators' word or this balancer's."""
         listed = [server for server in self._roster.servers.values() if server.status is not Status.GONE]
         return len(listed), sum(1 for server in listed if server.status is Status.READY
                                 and not (server.ready and self._health.in_draw(now, server))
                                 or self._roster.is_out(server.id))
 
+    def learned(self, now: int) -> dict[str, Any]:
+        """What another process of this balancer goes on from, as plain JSON; see `follow`."""
+        return {"servers": [[s.id, s.capacity.mean, s.started_at, self._cold.spent(now, s), s.fails, s.bars,
+                             s.barred_until] for s in self._roster.servers.values()],
+                "homes": list(self._draw.homes.items()), "rate": self._means.learned(now)}
+
+    def follow(self, now: int, learned: dict[str, Any]) -> None:
+        """Goes on from what another process has learned, which places no logins now."""
+        for number, size, started_at, spent, fails, bars, barred_until in learned["servers"]:
+            server = self._roster.servers.get(number)
+            if server is None:
+                continue
+            if size is not None and server.capacity.mean is None:
+                server.capacity.add(float(size))
+            server.started_at = max(server.started_at, int(started_at))
+            self._cold.spend(now, server, float(spent))
+            if fails > server.fails:
+                server.fails, server.bars, server.barred_until = int(fails), int(bars), int(barred_until)
+        for group, server in learned["homes"]:
+            self._draw.homes.setdefault(int(group), int(server))
+        self._means.follow(now, *learned["rate"])
+
+    def stand_by(self, wanted: bool) -> None:
+        """Whether another process of this balancer places its logins, with the probes and the cold budget."""
+        self._cold.stands_by = wanted
+        self._probing.take_settings(self._probes_allowed and not wanted)
+
     def chances(self, now: int, workload: int, span: int = 0) -> dict[int, float]:
         """Each server's chance in the draw of a login of this workload that came now; empty: it is refused.
 
@@ -1154,7 +1192,7 @@
             return
         self._others -= 1
         self._counts.placed(now, known, self._others, float(number))
-        self._cold.spend(now, known, float(number))
+        self._cold.spend(now, known, float(max(1, number)))
         if failed >= number:
             self._health.failed(now, known, 0, Outcome.ERROR)
         else:
@@ -1204,7 +1242,7 @@
             return
         login = held.login.login
         self._health.drawn(server, login)
-        self._cold.spend(now, server, held.load)
+        self._cold.spend(now, server, max(1.0, held.load))
         self._counts.placed(now, server, login, held.load, held.load if held.from_elsewhere else 0.0)
         cut_at = self._hand_offs.cut_at(now, held)
         held.attempts.append(Attempt(server.id, now))
