--- a/tests/test_overlap.py
+++ b/tests/test_overlap.py
@@ -173,7 +173,8 @@
                              pass_fds=[*(each.fileno() for each in world.listeners.values()), world.agent.fileno()],
                              stdout=subprocess.PIPE, text=True)
     placed = []
-    threading.Thread(target=lambda: [placed.append((time.monotonic(), *line.split())) for line in peers.stdout],
+    threading.Thread(target=lambda: [placed.append((time.monotonic(), name)) for line in peers.stdout
+                              for name in line.split()],
                      daemon=True).start()
 
     def start(admin):
@@ -253,7 +254,8 @@
         if line == b"STATS\\r\\n":
             sock.sendall(b"PONG x0=0.2,inflight=3\\r\\n")
         elif line.startswith(b"OPEN"):
-            print(name, flush=True)
+            sys.stdout.write(name + "\\n")
+            sys.stdout.flush()
             sock.sendall(b"UP x\\r\\n")
         else:
             sock.sendall(b"echo " + line)
