An upgrade's clients come over evenly and count once where they come back to

Change: where the door is shared moves are spread evenly over all the time to the end (`Relay.stop`); the old process tells which load has left which server since it stands by, and that counts as a placement less until a report surely holds it (`ended_elsewhere`); its open connections stand for their groups in the new one until it ends (`lend`, `take_back`); clients that come back meanwhile are not another balancer's flood. Should hold too for any process that hands over its work in steps. Might hurt where moved clients do not come back here: the room seen for a second is then real room.

`Server` moves to records.py, which no longer imports policy.py: it decides nothing.

--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -247,6 +247,12 @@
         except (TypeError, ValueError, KeyError, AttributeError, OverflowError) as problem:
             self._log(f"what an earlier process has learned can't be read: {problem!r:.100}")
 
+    def ended_elsewhere(self, server: int, load: float) -> None:
+        self._balancer.ended_elsewhere(self._scheduler.now(), server, load)
+
+    def alone(self) -> None:
+        self._balancer.alone()
+
     def stand_by(self, wanted: bool) -> None:
         self._balancer.stand_by(wanted)
 
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -72,10 +72,9 @@
     printed: int = 20  # lines a second
     print_queue: int = 200  # lines
 
-    @property
-    def stop_moving(self) -> int:
+    def stop_moving(self, accepting: int) -> int:
         """Over which connections are moved after SIGTERM: what is left but for the last to end."""
-        left = self.stop_time - self.stop_accepting
+        left = self.stop_time - accepting
         return max(left // 2, left - 500 * MS)
 
     @property
--- a/corklift/net/overlap.py
+++ b/corklift/net/overlap.py
@@ -25,8 +25,10 @@
         self._facade, self._relay, self._path, self._shares = facade, relay, path, shares
         self._kin: Kin | None = None
         self._place = Succession(0)
-        self._learned: dict[str, object] = {}
+        self._yielded = False  # what this process has learned is told
         self._held = 0  # as last told
+        self._ended: dict[tuple[int, int], float] = {}  # by process and server, what earlier ones have told of it
+        self._followed: set[int] = set()  # processes whose learning has been taken over
         self._others_live = True  # until a look has shown it
 
     @property
@@ -91,9 +93,9 @@
     def _tell(self) -> None:
         if self._kin is not None:
             self._held = self._relay.held
+            learned = self._facade.learned() if self._yielded else {}
             try:
-                self._kin.tell(Life(self._place.generation, self._place.stage, self._held, self._place.words,
-                                    self._learned))
+                self._kin.tell(Life(self._place.generation, self._place.stage, self._held, self._place.words, learned))
             except OSError as problem:
                 self._counters["files that can't be written"] += 1
                 self._log(f"what this process tells the next can't be written: {problem}")
@@ -107,9 +109,13 @@
         if not self._kin.changed() and not self._others_live and self._place.stage is Stage.SERVING:
             return  # alone, as before
         living, ended = self._kin.others()
+        if self._others_live and not living:
+            self._facade.alone()
         self._others_live = bool(living)
         self._take_words(living + ended)
         self._relay.held_elsewhere = sum(life.held for life in living)
+        for life in living + ended if self._place.stage is Stage.SERVING else []:
+            self._take_ended(life)
         while self._place.step(living, self._relay.ready):
             self._change(living)
             self._tell()
@@ -117,12 +123,22 @@
         if living and self._held != self._relay.held:
             self._tell()
 
+    def _take_ended(self, life: Life) -> None:
+        """Connections of an earlier process end while their clients come back to this one."""
+        for server, load in life.learned.get("ended", ()):
+            more = load - self._ended.get((life.generation, server), 0.0)
+            if more > 0:
+                self._ended[life.generation, server] = load
+                self._facade.ended_elsewhere(server, more)
+
     def _change(self, living: list[Life]) -> None:
         stage = self._place.stage
         self._log(f"process {self._place.generation} of this balancer is {stage.value}")
         self._relay.take_clients(stage is Stage.SERVING)
         if stage is Stage.SERVING:
-            for life in sorted(living, key=lambda life: life.generation):
-                self._facade.follow(life.learned)
-        self._learned = self._facade.learned() if stage is Stage.YIELDED else {}
+            for life in living:
+                if life.learned and life.generation not in self._followed:
+                    self._followed.add(life.generation)
+                    self._facade.follow(life.learned)
         self._facade.stand_by(stage is Stage.YIELDED)
+        self._yielded = stage is Stage.YIELDED
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -504,14 +504,16 @@
         accepting = 0 if self._shared else self._limits.stop_accepting
         self._scheduler.sleep(accepting)
         self._turning_away = not self._shared
-        moving, most = self._limits.stop_moving, 0
+        moving, most = self._limits.stop_moving(accepting), 0
         while self._now() < began + self._limits.stop_time and (self._held or self._waiting):
             still = sorted(number for number, ticket in self._open.items() if not ticket.to_move)
             left = max(0, began + accepting + moving - self._now())
             # Over all the time there is, slowly at first. Guards against a flood at those who take them in, and
-            # against clients sent away while a balancer that was stopped before this one is not back yet.
+            # against clients sent away while a balancer that was stopped before this one is not back yet. Evenly
+            # where the next process takes them in: it is there.
             most = max(most, len(still))
-            number = len(still) - most * (moving ** 2 - (moving - left) ** 2) // moving ** 2
+            part = moving ** 2 - (moving - left) ** 2 if not self._shared else left * moving
+            number = len(still) - most * part // moving ** 2
             for ticket in [self._open[at] for at in still[:max(0, number)]]:
                 ticket.to_move = True
                 self._scheduler.wake(ticket.task)
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -19,7 +19,7 @@
 
 from corklift.interface import (ColdRule, Effect, Host, Listed, Login, NoteKind, Outcome, Reach, Report,
                                 Scope, Status, Workload)
-from corklift.records import Attempt, Held, Histogram
+from corklift.records import Attempt, Held, Histogram, Server
 
 SECOND = 1_000_000_000
 PROBE_PERIOD = SECOND  # the design's "about once a second"
@@ -56,36 +56,6 @@
 GROUPS_LIKELY = 40  # of unknown size; what is seen of a group's share is drawn towards that of one of them
 
 
-class Server:
-    """What this balancer knows of one server."""
-
-    def __init__(self, line: Listed, now: int) -> None:
-        self.id = line.server
-        self.mixed = line.server * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
-        self.zone, self.kind, self.cell, self.weight = line.zone, line.kind, line.cell, line.weight
-        self.status, self.started_at, self.listed_at = line.status, line.started_at, now
-        self.ready = False  # by the list's word, and not taken out by operators'; the roster keeps it
-        self.count: float | None = None
-        self.pressure: float | None = None
-        self.read_at = 0  # when the last report came; 0: none yet
-        self.placed: dict[int, tuple[int, float, float]] = {}  # own placements a report may not hold yet
-        self.since = self.alone = 0.0  # their load, and the part of it that no other balancer places alike
-        self.open: dict[int, Held] = {}  # own connections
-        self.groups: dict[int, int] = {}  # how many of them belong to each group
-        self.capacity = Histogram()  # connections that would fill it
-        self.power = 1.0  # against the fleet's mean
-        self.fails = self.bars = self.barred_until = self.silent = 0
-        self.trial = 0  # the login that tries it out
-        self.delay = 0.0  # how long messages take there, as last noted, and when
-        self.delay_at = -SECOND * 3600
-        self.full_until = self.rest_until = 0
-        self.cold_spent, self.cold_at = 0.0, 0
-        self.probing = 0  # which turn of probes is the valid one
-        self.asked_at = 0  # when a probe that is still unanswered was sent; 0: none
-        self.probed_at = 0  # when the last one was sent
-        self.askers: list[tuple[Held, int]] = []  # logins that wait for its answer, and in which asking
-
-
 class Roster:
     """The servers as the list tells of them, and those that operators have taken out: two words, neither of
     which stands for the other."""
@@ -144,17 +114,15 @@
     def take_out(self, now: int, server: int) -> Server | None:
         """It drains from now on, whatever the list tells, drops or lists anew; returns it if it was ready."""
         self._out.setdefault(server, now)
-        known = self.servers.get(server)
-        was_ready = known is not None and known.ready
+        left = [known for known in self.ready if known.id == server]
         self._settle()
-        return known if was_ready else None
+        return left[0] if left else None
 
     def is_out(self, server: int) -> bool:
         return server in self._out
 
     def put_back(self, now: int, server: int) -> Server | None:
         """Returns it if it is ready now: as one that started when the list says so, or else just now.
-
         Its operators have restarted it in that time, so what it showed before tells nothing."""
         out_at, known = self._out.pop(server, None), self.servers.get(server)
         if out_at is None:
@@ -286,7 +254,7 @@
             known = server.count / server.power
         else:
             known = max(mean, len(server.open) * self._balancers / server.power)
-        return known + server.since / server.power
+        return max(0.0, known + server.since / server.power)
 
     def mean_per_power(self, servers: list[Server]) -> float:
         known = [self.per_power(server, 0.0) for server in servers if server.count is not None]
@@ -492,6 +460,7 @@
         self._full_until = 0  # until then a login is not asked for beyond its homes
         self._seen: dict[int, float] = {}  # logins of each group, halved now and then
         self._seen_total = 0.0
+        self._lent: list[tuple[Server, int]] = []
 
     def take_settings(self, grouped: bool, zone: int, crossing_price: float, message_limit: int,
                       reserves: list[float]) -> None:
@@ -718,19 +687,30 @@
                 < limit - (0.0 if group in s.groups else GROUP_MARGIN)]
 
     def count_group(self, held: Held, server: Server | None, sign: int) -> None:
-        group = held.login.group
-        self.total_load += sign
-        if not group:
-            return
-        if sign > 0 and server is not None:
-            self.homes[group] = server.id
-        for counts in (self.group_load, server.groups if server is not None else {}):
-            load = counts.get(group, 0) + sign
+        if sign > 0 and server is not None and held.login.group:
+            self.homes[held.login.group] = server.id
+        self._count(held.login.group, server, sign)
+
+    def _count(self, group: int, server: Server | None, number: int) -> None:
+        self.total_load += number
+        for counts in (self.group_load, server.groups if server is not None else {}) if group else ():
+            load = counts.get(group, 0) + number
             if load > 0:
                 counts[group] = load
             else:
                 counts.pop(group, None)
 
+    def lend(self, server: Server, group: int) -> None:
+        """A connection of another process of this balancer stands for its return. Guards against groups that
+        scatter as their clients move over: their servers pay for them already."""
+        self._count(group, server, 1)
+        self._lent.append((server, group))
+
+    def take_back(self) -> None:
+        while self._lent:
+            server, group = self._lent.pop()
+            self._count(group, server, -1)
+
 
 def _enough(servers: list[Server], need: float) -> list[Server]:
     """The first servers that make up this much power, one at least."""
@@ -974,6 +954,8 @@
         self._listed = False  # whether a list has come
         self._where: dict[int, int] = {}  # the holder of a client's connection, where packets pass
         self._held: dict[int, Held] = {}
+        self._ended: dict[int, float] = {}  # load of own connections that ended while standing by
+        self._followed = False  # clients of another process of this balancer come back to this one
         self._cut: list[int] = []  # when own connections were cut off or moved, whose clients come back
         self._cost_sum, self._cost_seen = 0.0, 0
         self._timers: dict[int, Callable[[int], None]] = {}
@@ -1019,7 +1001,8 @@
         self._draw.saw_group(login.group)
         # Those who come back beyond the own connections cut or moved lately were another balancer's.
         cut = [at for at in self._cut if now - at < AGE_LIMIT]
-        held.from_elsewhere = login.came_back and not cut and self._counts.mean_pressure < ROOM
+        alone = self._followed or self._counts.mean_pressure < ROOM
+        held.from_elsewhere = login.came_back and not cut and alone
         self._cut = cut[login.came_back:]
         self._place(now, held)
 
@@ -1129,9 +1112,9 @@
 
     def server_out(self, now: int, server: int) -> None:
         """Operators take it out, listed or not: it drains until `server_back`, whatever the list says."""
-        known = self._roster.take_out(now, server)
-        if known is not None:
-            self._leave(now, known, "is taken out by hand")
+        left = self._roster.take_out(now, server)
+        if left is not None:
+            self._leave(now, left, "is taken out by hand")
         self._host.close_idle(server)  # its work is to end, probes with it
 
     def server_back(self, now: int, server: int) -> None:
@@ -1151,7 +1134,9 @@
         """What another process of this balancer goes on from, as plain JSON; see `follow`."""
         return {"servers": [[s.id, s.capacity.mean, s.started_at, self._cold.spent(now, s), s.fails, s.bars,
                              s.barred_until] for s in self._roster.servers.values()],
-                "homes": list(self._draw.homes.items()), "rate": self._means.learned(now)}
+                "homes": list(self._draw.homes.items()), "rate": self._means.learned(now),
+                "open": [[s.id, held.login.group] for s in self._roster.servers.values()
+                         for held in s.open.values()], "ended": list(self._ended.items())}
 
     def follow(self, now: int, learned: dict[str, Any]) -> None:
         """Goes on from what another process has learned, which places no logins now."""
@@ -1165,9 +1150,25 @@
             self._cold.spend(now, server, float(spent))
             if fails > server.fails:
                 server.fails, server.bars, server.barred_until = int(fails), int(bars), int(barred_until)
-        for group, server in learned["homes"]:
-            self._draw.homes.setdefault(int(group), int(server))
+        for group, home in learned["homes"]:
+            self._draw.homes.setdefault(int(group), int(home))
+        for number, group in learned["open"]:
+            if number in self._roster.servers:
+                self._draw.lend(self._roster.servers[number], int(group))
         self._means.follow(now, *learned["rate"])
+        self._followed = True
+
+    def ended_elsewhere(self, now: int, server: int, load: float) -> None:
+        """Connections that another process of this balancer held have ended; reports may hold them yet.
+        Guards against clients that count twice, where they left and where they come back to."""
+        known = self._roster.servers.get(server)
+        if known is not None:
+            self._others -= 1
+            self._counts.placed(now, known, self._others, -load, -load)
+
+    def alone(self) -> None:  # no other process of this balancer lives any longer
+        self._draw.take_back()
+        self._followed = False
 
     def stand_by(self, wanted: bool) -> None:
         """Whether another process of this balancer places its logins, with the probes and the cold budget."""
@@ -1289,7 +1290,10 @@
         self._held.pop(login, None)
         held.awaits = 0
         if held.is_open:
-            self._draw.count_group(held, self._roster.servers.get(held.attempts[-1].server), -1)
+            at = held.attempts[-1].server
+            if self._cold.stands_by:
+                self._ended[at] = self._ended.get(at, 0.0) + held.load
+            self._draw.count_group(held, self._roster.servers.get(at), -1)
         for attempt in held.attempts[-1:]:
             server = self._roster.servers.get(attempt.server)
             if server is not None:
--- a/corklift/records.py
+++ b/corklift/records.py
@@ -1,14 +1,11 @@
-"""What the decisions keep of what they measure and of each login. Plain records: nothing is decided here."""
+"""What the decisions keep of what they measure, of each login and of each server. Plain records: nothing is decided
+here."""
 
 from __future__ import annotations
 
 from math import log
-from typing import TYPE_CHECKING
 
-from corklift.interface import Login, Outcome
-
-if TYPE_CHECKING:
-    from corklift.policy import Server
+from corklift.interface import Listed, Login, Outcome
 
 
 class Histogram:
@@ -52,3 +49,33 @@
         self.turn, self.awaits = 0, 0  # which asking it was, and the answers it waits for
         self.from_elsewhere = False  # it comes back from a connection that another balancer held
         self.turns: dict[int, float] = {}  # its chance to be sent to each cold server, drawn once
+
+
+class Server:
+    """What this balancer knows of one server."""
+
+    def __init__(self, line: Listed, now: int) -> None:
+        self.id = line.server
+        self.mixed = line.server * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
+        self.zone, self.kind, self.cell, self.weight = line.zone, line.kind, line.cell, line.weight
+        self.status, self.started_at, self.listed_at = line.status, line.started_at, now
+        self.ready = False  # by the list's word, and not taken out by operators'; the roster keeps it
+        self.count: float | None = None
+        self.pressure: float | None = None
+        self.read_at = 0  # when the last report came; 0: none yet
+        self.placed: dict[int, tuple[int, float, float]] = {}  # own placements a report may not hold yet
+        self.since = self.alone = 0.0  # their load, and the part of it that no other balancer places alike
+        self.open: dict[int, Held] = {}  # own connections
+        self.groups: dict[int, int] = {}  # how many of them belong to each group
+        self.capacity = Histogram()  # connections that would fill it
+        self.power = 1.0  # against the fleet's mean
+        self.fails = self.bars = self.barred_until = self.silent = 0
+        self.trial = 0  # the login that tries it out
+        self.delay = 0.0  # how long messages take there, as last noted, and when
+        self.delay_at = -3_600_000_000_000
+        self.full_until = self.rest_until = 0
+        self.cold_spent, self.cold_at = 0.0, 0
+        self.probing = 0  # which turn of probes is the valid one
+        self.asked_at = 0  # when a probe that is still unanswered was sent; 0: none
+        self.probed_at = 0  # when the last one was sent
+        self.askers: list[tuple[Held, int]] = []  # logins that wait for its answer, and in which asking
--- a/tests/test_overlap.py
+++ b/tests/test_overlap.py
@@ -16,7 +16,7 @@
 from scene import MS, Scene, Wire
 
 from corklift.__main__ import inherited
-from corklift.interface import ColdRule, Report
+from corklift.interface import ColdRule, Outcome, Report
 from corklift.net.kin import Kin
 from corklift.net.limits import BadConfig
 from corklift.succession import Life, Stage, Succession, Unreadable, Word, decode, encode
@@ -114,6 +114,37 @@
     assert [second.login(number) for number in (901, 902)] == [1, None] and most > 2
 
 
+def test_clients_that_come_over_count_once_and_their_groups_stay_together():
+    # The fleet is as full as before: each returns to room that its own old connection has left, at its group's server.
+    def scene(seed):
+        made = Scene(seed, balancers=3, grouped=True)
+        made.auto = {number: Report(14.4, 0.72) for number in (1, 2, 3, 4)}
+        made.listed(1, 2, 3, 4)
+        made.run(3000)
+        return made
+    old, new, stranger = scene(1), scene(2), scene(2)
+    for number in range(1, 9):
+        assert old.login(number, group=77) is not None
+        old.stands(number)
+        old.run(2500)
+    homes = {server for _, server in old.sent}
+    old.balancer.stand_by(True)
+    new.balancer.follow(new.now, json.loads(json.dumps(old.balancer.learned(old.now))))
+    new.balancer.follow(new.now, {"servers": [], "homes": [], "rate": [0, 0], "open": [[9, 77]], "ended": []})
+    for number in range(1, 9):
+        old.ends(number, Outcome.CANCELLED, closed=True)
+    for server, load in old.balancer.learned(old.now)["ended"]:
+        new.balancer.ended_elsewhere(new.now, server, load)
+    placed = {"new": [], "stranger": []}
+    for number in range(101, 109):
+        placed["new"].append(new.login(number, group=77, came_back=True))
+        placed["stranger"].append(stranger.login(number, group=77, came_back=True))
+    assert set(placed["new"]) <= homes and None in placed["stranger"]
+    draw = new.balancer._draw
+    new.balancer.alone()
+    assert draw.total_load == 0 and not draw.group_load and not any(s.groups for s in new.balancer._roster.ready)
+
+
 def test_a_value_that_is_no_listening_socket_is_named():
     plain = socket.socket()
     read_end, write_end = os.pipe()
