SIGHUP: a login keeps its workload as it came, a file that lacks a key is turned down

Each login holds the workload that it came with (`Held.workload`), so a class that changes effect or limits under it changes nothing for it; the number of hand-offs is the one in force now, as fewer are always allowed. A file is compared with the one in force (`left_out`): a key that this one has and the new one lacks, at any depth of the settings, is named and the file turned down as a whole. Rejected: a list of keys that must be there: at the start a minimal file is fine, and what a deployment needs is what it had.

Checked: every key of the test's configuration left out in turn, empty and cut files, six impossible values of a time limit and of the hand-offs: all refused, counted, none taken in part.

--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -24,7 +24,7 @@
 from corklift.net.scheduler import WRITE, Scheduler, wall_clock
 from corklift.net.stream import Stream
 from corklift.net.upkeep import Probes, Watch
-from corklift.settings import BadSettings, report_names, told_figure, translate
+from corklift.settings import BadSettings, left_out, report_names, told_figure, translate
 
 
 def _address(config: Any, key: str, told: str | None = None) -> tuple[str, int]:
@@ -89,6 +89,7 @@
     kinds: list[str]
     kept_for: int  # how long a connection for probes idles
     admin: tuple[str, int] | None  # where operators call, if they do
+    whole: dict[str, Any]  # as it was read
 
     @classmethod
     def of(cls, config: Any, admin_told: str | None = None) -> Configuration:
@@ -124,7 +125,7 @@
             raise BadConfig(f"config: limits holds {given!r:.60}") from None
         return cls(listen, discovery, seed, known, limits, arguments, names, told,
                    _names(settings, "localities"), _names(settings, "skus"),
-                   need(allow, "keepalive-ns", int, "settings.permissions."), admin)
+                   need(allow, "keepalive-ns", int, "settings.permissions."), admin, config)
 
 
 class Process:
@@ -183,6 +184,10 @@
         old = self._configuration
         try:
             new = Configuration.of(_read(os.environ.get("BALANCER_CONFIG")), self._admin_told)
+            # The list is for a start only, and whoever leaves the operators' address out keeps it.
+            lacks = left_out(old.whole | {"known": None, "admin_addr": None}, new.whole | {"admin_addr": None})
+            if lacks is not None:
+                raise BadConfig(f"config: {lacks} is missing, which the configuration in force has")
             if new.listen != old.listen and not self._stopping and not self._shares:
                 self.port = self.relay.listen(new.listen)
             if new.admin != old.admin and new.admin is not None:
@@ -199,8 +204,8 @@
         self.admin.reconfigure(new.limits)
         self.probes.reconfigure(new.limits, new.kept_for)
         self.watch.follow(new.discovery, new.limits)
-        changed = sorted({name if name in ("listen", "discovery", "seed", "known", "limits") else "settings"
-                          for name in new._fields if getattr(new, name) != getattr(old, name)})
+        changed = sorted({name if name in ("listen", "discovery", "seed", "known", "limits", "admin") else "settings"
+                          for name in new._fields if name != "whole" and getattr(new, name) != getattr(old, name)})
         self.counters["configurations taken"] += 1
         self.printer.say(f"configuration read anew, changed: {' '.join(changed) or 'nothing'}", always=True)
 
--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -732,8 +732,8 @@
     def __init__(self, roster: Roster) -> None:
         self._roster, self._resends = roster, RESEND_MOST
 
-    def take_settings(self, workloads: list[Workload], max_hand_offs: int) -> None:
-        self._workloads, self._max = workloads, max_hand_offs
+    def take_settings(self, max_hand_offs: int) -> None:
+        self._max = max_hand_offs
 
     def _may_have_run(self, held: Held) -> list[Attempt]:
         return [a for a in held.attempts if a.outcome is None or not a.outcome.proves_not_run]
@@ -741,7 +741,6 @@
     def may_send(self, now: int, held: Held) -> bool:
         if len(held.attempts) >= self._max or now >= held.login.time_limit_at:
             return False
-        workload = self._workloads[held.login.workload]
         if not held.attempts:
             self._resends = min(RESEND_MOST, self._resends + RESEND_PART)
         elif held.attempts[-1].outcome not in (Outcome.FULL, Outcome.NOT_CONNECTED):
@@ -749,31 +748,29 @@
             if self._resends < 1.0:
                 return False
             self._resends -= 1.0
-        if workload.effect is Effect.REPEATABLE:
+        if held.workload.effect is Effect.REPEATABLE:
             return True
         ran = self._may_have_run(held)
         if not ran:
             return True
         # A once-only login that may have run must never run again; a tagged one only while it is remembered.
-        return workload.effect is Effect.TAGGED and now < ran[0].sent_at + workload.dedup_window
+        return held.workload.effect is Effect.TAGGED and now < ran[0].sent_at + held.workload.dedup_window
 
     def allowed(self, held: Held) -> Callable[[Server], bool]:
-        workload = self._workloads[held.login.workload]
-        ran = self._may_have_run(held) if workload.effect is Effect.TAGGED else []
-        if not ran or workload.reach is Reach.ALL:
+        ran = self._may_have_run(held) if held.workload.effect is Effect.TAGGED else []
+        if not ran or held.workload.reach is Reach.ALL:
             return lambda server: True
         first = self._roster.servers.get(ran[0].server)
         if first is None:
             return lambda server: False
-        if workload.reach is Reach.ZONE:
+        if held.workload.reach is Reach.ZONE:
             return lambda server: server.zone == first.zone
         return lambda server: server.cell == first.cell
 
     def may_bounce(self, held: Held) -> bool:
-        workload = self._workloads[held.login.workload]
-        if workload.effect is Effect.REPEATABLE or not self._may_have_run(held):
+        if held.workload.effect is Effect.REPEATABLE or not self._may_have_run(held):
             return True
-        return workload.effect is Effect.TAGGED and workload.reach is Reach.ALL
+        return held.workload.effect is Effect.TAGGED and held.workload.reach is Reach.ALL
 
     def cut_at(self, now: int, held: Held) -> int:
         """Early enough to try elsewhere within the soft limit; the last hand-off has all that is left."""
@@ -781,8 +778,7 @@
         left = self._max - len(held.attempts)
         if left <= 1 or self._resends < RESEND_MOST / 2:
             return limit
-        workload = self._workloads[held.login.workload]
-        return min(limit, now + max(workload.soft_limit // 2, (limit - now) // left))
+        return min(limit, now + max(held.workload.soft_limit // 2, (limit - now) // left))
 
 
 class Moves:
@@ -987,7 +983,7 @@
         reserves = [RESERVE * (1 - w.importance / most) if per_work and most else 0.0 for w in workloads]
         shortest = min((w.message_limit for w in workloads if w.message_limit), default=0)
         self._draw.take_settings(grouped, zone, crossing_price, shortest, reserves)
-        self._hand_offs.take_settings(workloads, max_hand_offs)
+        self._hand_offs.take_settings(max_hand_offs)
         self._probes_allowed = probes_allowed
         self._probing.take_settings(probes_allowed and not self._cold.stands_by)
         if ask_for_list and self._list is None:
@@ -995,7 +991,7 @@
         self._list = (self._list or ListFollowing(self._rng, ask_within)) if ask_for_list else None
 
     def login_arrived(self, now: int, login: Login) -> None:
-        held = Held(login, self._like(login.cost))
+        held = Held(login, self._like(login.cost), self._workloads[login.workload])
         self._held[login.login] = held
         self._means.login_seen(now, login.came_back)
         self._draw.saw_group(login.group)
@@ -1007,7 +1003,7 @@
         self._place(now, held)
 
     def connection_carried(self, now: int, login: Login, server: int) -> None:
-        held = Held(login, self._like(login.cost))
+        held = Held(login, self._like(login.cost), self._workloads[login.workload])
         self._means.stood(now)
         self._draw.saw_group(login.group)
         attempt = Attempt(server, now)
@@ -1180,8 +1176,9 @@
 
         Changes nothing. With a span (ns): the chances by which others may place all logins of that span; what
         is left to 1 is to be refused."""
-        limit = self._workloads[workload].time_limit
-        return self._draw.chances(now, Held(Login(0, workload, 0, 0, now + limit, None, 0), 1.0), span)
+        asked = self._workloads[workload]
+        login = Login(0, workload, 0, 0, now + asked.time_limit, None, 0)
+        return self._draw.chances(now, Held(login, 1.0, asked), span)
 
     def placed_by_others(self, now: int, server: int, number: int, failed: int) -> None:
         """So many logins were placed there by our chances since this was last told; so many of them failed.
@@ -1233,7 +1230,7 @@
         if server is None and self._counts.some_only:
             to_ask, server = self._draw.ask_or_pick(now, held, self._hand_offs.allowed(held))
             if to_ask:
-                wait = int(ASK_PART * self._workloads[held.login.workload].soft_limit)
+                wait = int(ASK_PART * held.workload.soft_limit)
                 self._probing.ask_for(now, held, to_ask, wait, self._place)
                 return
         elif server is None:
--- a/corklift/records.py
+++ b/corklift/records.py
@@ -5,7 +5,7 @@
 
 from math import log
 
-from corklift.interface import Listed, Login, Outcome
+from corklift.interface import Listed, Login, Outcome, Workload
 
 
 class Histogram:
@@ -37,8 +37,9 @@
 class Held:
     """A login this balancer answers for, or the connection it became."""
 
-    def __init__(self, login: Login, load: float) -> None:
+    def __init__(self, login: Login, load: float, workload: Workload) -> None:
         self.login, self.load = login, load
+        self.workload = workload  # as it was when the login came
         self.attempts: list[Attempt] = []
         self.is_open = False
         self.round = 0  # of asking servers before a hand-off
--- a/corklift/settings.py
+++ b/corklift/settings.py
@@ -112,3 +112,23 @@
     if _need(family, "tells-delay", "family-info.", False):
         return NoteKind.DELAY, 1_000_000  # milliseconds
     return None
+
+
+def left_out(old: Any, new: Any, where: str = "") -> str | None:
+    """A key that the tables in force have and new ones lack, at any depth, or that all entries of a list have but one.
+
+    Guards against a file that was cut short or lost a line and would be read with what stands for an absent key."""
+    if isinstance(old, dict) and isinstance(new, dict):
+        for key, value in old.items():
+            if key not in new:
+                return f"{where}{key}"
+            found = left_out(value, new[key], f"{where}{key}.")
+            if found is not None:
+                return found
+    elif isinstance(old, list) and isinstance(new, list) and old and all(isinstance(item, dict) for item in old):
+        shared = dict.fromkeys(set.intersection(*(set(item) for item in old)))
+        for at, item in enumerate(new):
+            found = left_out(shared, item, f"{where[:-1]}[{at}].")
+            if found is not None:
+                return found
+    return None
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -220,3 +220,69 @@
             assert balancer._cold.is_cold(scene.now, known) is (at < cold_for), at
             scene.run(500)
         assert balancer.known_and_avoided(scene.now) == (2, 0)
+
+
+def test_a_file_that_lacks_a_key_or_holds_an_impossible_value_changes_nothing_and_is_counted(tmp_path):
+    wire = Operated("up", "up")
+    settings, file = wire.config["settings"], tmp_path / "config"
+    plain = settings["workloads"][0]
+    new = settings | {"workloads": [plain, plain | {"name": "new", "effect": "side_effect"}]}
+    wire.run(1500)
+
+    def reload(text):
+        file.write_text(text)
+        wire.process.scheduler.spawn(wire.process.reload)
+        wire.run(100)
+    wire.reload(file, settings=new)
+    wire.run(100)
+    before = wire.figures()
+    assert before["app.reloads_ok"] == 1 and before["app.served.new"] == 0
+    whole = json.dumps(wire.config | {"settings": new})
+    for bad in ("", whole[:-9], *(json.dumps(wire.config | {"settings": settings | change}) for change in (
+            {"workloads": [{key: value for key, value in plain.items() if key != name}]} for name in plain))):
+        reload(bad)
+    for key in wire.config:
+        if key != "admin_addr":
+            reload(json.dumps({name: value for name, value in wire.config.items() if name != key}))
+    for key in settings:
+        reload(json.dumps(wire.config | {"settings": {name: value for name, value in new.items() if name != key}}))
+    for value in (0, -1, None, "5", True, float("nan")):
+        reload(json.dumps(wire.config | {"settings": new | {"workloads": [plain | {"time-limit-ns": value}]}}))
+        reload(json.dumps(wire.config | {"settings": new | {"permissions": settings["permissions"] | {"max-hand-offs": value}}}))
+    after, refused = wire.figures(), 2 + len(plain) + len(wire.config) - 1 + len(settings) + 12
+    assert after["app.reloads_failed"] == refused and after["app.reloads_ok"] == 1 and not wire.counters["exceptions"]
+    wire.client("c1", "OPEN 1 7f c=new,d=2000\r\n")  # the settings before stay in force
+    wire.run(100)
+    assert any("c1 < UP" in line for line in wire.lines)
+
+
+def test_a_login_under_way_keeps_its_workload_and_fewer_hand_offs_bind_at_once(tmp_path):
+    # A once-only login stays once-only, a repeatable one repeatable, though the class changes under it; one whose class
+    # vanished is answered at once.
+    wire = Operated("busy", limits={"memory_mb": 64, "sockets": 400})
+    settings = wire.config["settings"]
+    plain = settings["workloads"][0]
+    once = plain | {"name": "once", "effect": "side_effect"}
+    wire.reload(tmp_path / "config", settings=settings | {"workloads": [plain, once]})
+    wire.run(1500)
+    wire.behaviour["s1"] = lambda wire, stream, line: (wire.sleep(300 * MS), stream.abort())
+    wire.client("pure", OPEN)
+    wire.client("once", "OPEN 1 7f c=once,d=2000\r\n")
+    wire.run(100)
+    wire.reload(tmp_path / "config", settings=settings | {"workloads": [once | {"effect": "pure"}, plain | {"effect": "side_effect"}]})
+    wire.run(1500)
+    tries = [line.split()[4] for line in wire.lines if "s1 < OPEN" in line]
+    assert tries.count("once") == 1 and tries.count("pure") == 3
+    assert [line.split()[-1] for line in wire.lines if " once <" in line] == ["FAILED"]
+    wire.lines.clear()
+    wire.behaviour["s1"] = "busy"
+    wire.reload(tmp_path / "config", settings=settings | {
+        "workloads": [plain], "permissions": settings["permissions"] | {"max-hand-offs": 1}})
+    wire.run(100)
+    wire.client("gone", "OPEN 1 7f c=once,d=2000\r\n")
+    wire.client("few", OPEN)
+    wire.run(100)
+    assert [line.split()[1:] for line in wire.lines if " < " in line and "s1" not in line] == [
+        ["gone", "<", "ERR"], ["few", "<", "BUSY"]]
+    assert len([line for line in wire.lines if "s1 < OPEN" in line]) == 1
+    assert wire.figures()["app.failed.once"] == 2
--- a/tests/test_chances.py
+++ b/tests/test_chances.py
@@ -52,7 +52,7 @@
     before = scene.balancer.chances(scene.now, seed % 2)
     draw = scene.balancer._draw
     for _ in range(draws):
-        server = draw.pick(scene.now, Held(ANY._replace(workload=seed % 2), 1.0), lambda server: True)
+        server = draw.pick(scene.now, Held(ANY._replace(workload=seed % 2), 1.0, scene.balancer._workloads[seed % 2]), lambda server: True)
         drawn[server.id if server else None] += 1
     refused = 1.0 - sum(told.values())
     apart = sum(abs(told.get(server, 0.0) - drawn[server] / draws) for server in {*told, *drawn} - {None})
