--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -261,7 +261,7 @@
     # vanished is answered at once.
     wire = Operated("busy", limits={"memory_mb": 64, "sockets": 400})
     settings = wire.config["settings"]
-    plain = settings["workloads"][0]
+    plain = settings["workloads"][0] | {"effect": "pure"}
     once = plain | {"name": "once", "effect": "side_effect"}
     wire.reload(tmp_path / "config", settings=settings | {"workloads": [plain, once]})
     wire.run(1500)
