--- a/corklift/__main__.py
+++ b/corklift/__main__.py
@@ -145,9 +145,10 @@
         listen_fd = os.environ.get("BALANCER_LISTEN_FD", "")
         self.port = self.relay.share(inherited(listen_fd)) if listen_fd else self.relay.listen(given.listen)
         self._shares = bool(listen_fd)
-        name = os.environ.get("BALANCER_NAME") or "%s:%d" % given.listen
+        name = os.environ.get("BALANCER_NAME") or ("%s:%d" % given.listen if given.listen[1] else "")
+        place = folder(os.environ.get("TMPDIR"), name)
         self.overlap = Overlap(scheduler, limits, self.counters, lambda text: self.printer.say(text, always=True),
-                               self.facade, self.relay, folder(os.environ.get("TMPDIR"), name), self._shares)
+                               self.facade, self.relay, place, self._shares)
         self.probes = Probes(scheduler, limits, self.counters, self.facade, given.kept_for)
         self.watch = Watch(scheduler, limits, self.counters, self.printer, self.facade, given.discovery,
                            Random(given.seed ^ 1),
--- a/corklift/net/kin.py
+++ b/corklift/net/kin.py
@@ -18,8 +18,8 @@
 
 
 def folder(base: str | None, name: str) -> str | None:
-    """Where the processes of the balancer of this name meet, if the system gives them a place."""
-    if not base:
+    """Where the processes of the balancer of this name meet, if it has one and the system gives them a place."""
+    if not base or not name:
         return None
     return os.path.join(base, "corklift-" + re.sub(r"[^A-Za-z0-9_.-]", "_", name))
 
