A server taken out by hand is left evenly over a second, not at once

Checked and ruled out: late or wrong calls (none), a server unused after its return (none), the cold budget (no other server was cold). At fault: `Moves.evacuate` sends all at once, which a drain by discovery forces, as the server ends soon; an operator's word forces no more than the end of new work.

Change: by hand the moves are spread over one probe period, in which reports can show them. Might hurt who restarts a server within a second of the word: who is left is cut off by the server and comes back alike.

--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -64,7 +64,7 @@
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []
         self.version = 0  # of who is ready
-        self._out: dict[int, int] = {}  # when operators took a server out, listed or not
+        self.out: dict[int, int] = {}  # when operators took a server out, listed or not
         self._back: dict[int, int] = {}  # when they put back one that was not listed then
 
     def apply(self, now: int, scope: Scope, lines: Iterable[Listed]) -> tuple[list[Server], list[Server]]:
@@ -108,23 +108,20 @@
     def _settle(self) -> None:
         self.version += 1
         for server in self.servers.values():
-            server.ready = server.status is Status.READY and server.id not in self._out
+            server.ready = server.status is Status.READY and server.id not in self.out
         self.ready = [server for server in self.servers.values() if server.ready]
 
     def take_out(self, now: int, server: int) -> Server | None:
         """It drains from now on, whatever the list tells, drops or lists anew; returns it if it was ready."""
-        self._out.setdefault(server, now)
+        self.out.setdefault(server, now)
         left = [known for known in self.ready if known.id == server]
         self._settle()
         return left[0] if left else None
 
-    def is_out(self, server: int) -> bool:
-        return server in self._out
-
     def put_back(self, now: int, server: int) -> Server | None:
         """Returns it if it is ready now: as one that started when the list says so, or else just now.
         Its operators have restarted it in that time, so what it showed before tells nothing."""
-        out_at, known = self._out.pop(server, None), self.servers.get(server)
+        out_at, known = self.out.pop(server, None), self.servers.get(server)
         if out_at is None:
             return None
         if known is None:
@@ -286,9 +283,8 @@
         if server.fails >= FAILS_IN_ROW:
             server.bars = min(server.bars + 1, 3)
             server.barred_until = now + int(PROBE_PERIOD * (1 << server.bars) * self._rng.uniform(0.75, 1.25))
-            if server.fails == FAILS_IN_ROW:
-                self._host.log(f"server {server.id} out of the draw: "
-                               f"{server.fails} hand-offs failed in a row")
+        if server.fails == FAILS_IN_ROW:
+            self._host.log(f"server {server.id} out of the draw: {server.fails} hand-offs failed in a row")
 
     def worked(self, server: Server, login: int) -> None:
         if server.fails >= FAILS_IN_ROW:
@@ -784,14 +780,20 @@
 class Moves:
     """The exception to kept placements: off a lost or draining server, and off a hot one in bounded steps."""
 
-    def __init__(self, host: Host, rng: Random, counts: Counts, group_load: dict[int, int]) -> None:
-        self._host, self._rng, self._counts, self._group_load = host, rng, counts, group_load
+    def __init__(self, host: Host, rng: Random, counts: Counts, group_load: dict[int, int],
+                 after: Callable[[int, Callable[[int], None]], None]) -> None:
+        self._host, self._rng, self._counts = host, rng, counts
+        self._group_load, self._after = group_load, after
 
-    def evacuate(self, server: Server, why: str) -> None:
+    def evacuate(self, server: Server, why: str, over: int = 0) -> None:
+        """At once, or evenly over a time. Guards against a flood where nothing forces one."""
         if server.open:
             self._host.log(f"server {server.id} {why}: moving {len(server.open)} connections")
-        for login in list(server.open):
-            self._host.move(login)
+        for number, login in enumerate(list(server.open)):
+            if over and number:
+                self._after(over * number // len(server.open), lambda _, login=login: self._host.move(login))
+            else:
+                self._host.move(login)
 
     def cool(self, now: int, server: Server) -> None:
         """Moves this balancer's part of what a hot server has too much, then rests until reports show it."""
@@ -964,7 +966,7 @@
         self._cold = ColdBudget(self._counts, self._means)
         self._draw = Draw(rng, self._roster, self._counts, self._health, self._cold)
         self._hand_offs = HandOffs(self._roster)
-        self._moves = Moves(host, rng, self._counts, self._draw.group_load)
+        self._moves = Moves(host, rng, self._counts, self._draw.group_load, self._after)
         self._probing = Probing(host, rng, self._roster, self._counts, self._means, self._cold, self._after)
         self._list: ListFollowing | None = None
         self.settings_changed(now, **settings)
@@ -1110,7 +1112,7 @@
         """Operators take it out, listed or not: it drains until `server_back`, whatever the list says."""
         left = self._roster.take_out(now, server)
         if left is not None:
-            self._leave(now, left, "is taken out by hand")
+            self._leave(now, left, "is taken out by hand", PROBE_PERIOD)
         self._host.close_idle(server)  # its work is to end, probes with it
 
     def server_back(self, now: int, server: int) -> None:
@@ -1124,7 +1126,7 @@
         listed = [server for server in self._roster.servers.values() if server.status is not Status.GONE]
         return len(listed), sum(1 for server in listed if server.status is Status.READY
                                 and not (server.ready and self._health.in_draw(now, server))
-                                or self._roster.is_out(server.id))
+                                or server.id in self._roster.out)
 
     def learned(self, now: int) -> dict[str, Any]:
         """What another process of this balancer goes on from, as plain JSON; see `follow`."""
@@ -1200,13 +1202,11 @@
         """Nothing is said between balancers yet, so nothing is heard."""
 
     def timer_due(self, now: int, mark: int) -> None:
-        action = self._timers.pop(mark, None)
-        if action is not None:
-            action(now)
+        self._timers.pop(mark, lambda at: None)(now)
 
-    def _leave(self, now: int, server: Server, why: str) -> None:
+    def _leave(self, now: int, server: Server, why: str, over: int = 0) -> None:
         self._cut += [now] * int(server.count or 0)  # other balancers' clients there come back alike
-        self._moves.evacuate(server, why)
+        self._moves.evacuate(server, why, over)
 
     def _after(self, wait: int, action: Callable[[int], None]) -> None:
         mark = self._next_mark
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -195,6 +195,21 @@
     assert wire.counters["hand-offs not sent"] == 1 and not wire.counters["hand-offs written"]
 
 
+def test_clients_of_a_server_taken_out_move_one_by_one_within_a_second():
+    # Guards against a flood at the others where no server forces it: all at once when discovery says so, evenly by hand.
+    scene = Scene()
+    scene.listed(1)
+    for number in range(1, 6):
+        assert scene.login(number) == 1
+        scene.stands(number)
+        scene.run(500)
+    scene.lines.clear()
+    scene.balancer.server_out(scene.now, 1)
+    scene.run(1000)
+    moves = [int(line.split()[0]) for line in scene.lines if " move " in line]
+    assert [at - moves[0] for at in moves] == [0, 200, 400, 600, 800]
+
+
 def test_a_server_put_back_is_cold_by_the_start_that_is_known_or_else_by_its_return():
     for restart, listed_late, cold_for in ((None, False, 9000), (500, False, 7500), (500, True, 9000)):
         scene = Scene(cold=ColdRule(0.3, 9000 * MS, 3.0, 1000 * MS), workloads=[Workload("plain", 1.0, 800 * MS, 3200 * MS)])
