Connections leave a server that has room but stays late for this balancer alone

Told from other causes: nothing was refused or timed out at set-up, the servers' reports say 0.4 to 0.6, other balancers' messages there are in time; the notes of delay of the struck balancers' own connections are six times the limit. At fault: `hand_off_noted` only keeps new logins away, and `cool` and `evacuate` act on reports and silence, neither of which shows it.

Change: such connections leave, once a report of a second after the lateness began still says that the server has room, while at most three in four of the servers that hold own connections are late and the fleet's mean is under 0.7. A defence against a symptom: messages that stay late for this balancer though the server says that it has room; it holds too against lossy and slow ways and a hole that probes pass. It might hurt where reports are wrong.

--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -36,6 +36,8 @@
 RESERVE = 0.1  # of what a server can do, kept for logins that bring more importance for their load
 DEAR_CROSSING = 0.01  # of a login's worth: a crossing of zones that costs more is avoided while there is room
 NOTE_LASTS = 3 * PROBE_PERIOD // 2  # a note of late messages comes once a second while they are late
+LEFT_LATE = 2.0  # times the shortest message limit: past it connections leave a server though it has room
+LATE_PART = 0.75  # of the servers that hold own connections may be late at once, for that
 ALIKE = 4  # balancers, this one too, that are taken to place alike
 GROUP_MARGIN = 0.1  # of what a server can do: what a group may cost a server that does not hold it yet
 FAILS_IN_ROW = 2  # failed hand-offs that take a server out of the draw
@@ -119,8 +121,7 @@
         return left[0] if left else None
 
     def put_back(self, now: int, server: int) -> Server | None:
-        """Returns it if it is ready now: as one that started when the list says so, or else just now.
-        Its operators have restarted it in that time, so what it showed before tells nothing."""
+        """Returns it if ready now; its start is the list's or else now, and nothing it showed before counts."""
         out_at, known = self.out.pop(server, None), self.servers.get(server)
         if out_at is None:
             return None
@@ -226,8 +227,7 @@
     def projected(self, server: Server) -> float | None:
         """Pressure with placements since: own ones, and those taken to be made by the other balancers.
 
-        Guards against a flood of returning clients (a drain, a reconnect): each balancer sees its part of it.
-        """
+        Guards against a flood of returning clients (a drain, a reconnect): each balancer sees its part of it."""
         if server.pressure is None:
             return None
         size = self.capacity(server) or self.typical  # Guards against a flood where no size is known yet
@@ -356,7 +356,6 @@
 
     def some_only(self, now: int, servers: int) -> bool:
         """Whether probing all, as seldom as the design allows, costs too much of what logins are worth.
-
         It does, too, where more balancers than servers share them: each knows little of counts and groups."""
         cost = servers * self._fee * SECOND / AGE_LIMIT
         return cost > 0 and (self._balancers > servers
@@ -468,12 +467,12 @@
         return (self._crossing_price > DEAR_CROSSING and not login.came_back
                 and self._counts.mean_pressure < ROOM - GROUP_MARGIN)
 
-    def _late(self, now: int, server: Server, part: float) -> bool:
+    def late(self, now: int, server: Server, part: float) -> bool:
         """Whether messages there took more than this part of the shortest message limit, by a recent note."""
         return now - server.delay_at < NOTE_LASTS and server.delay > part * self._message_limit > 0
 
     def has_room(self, now: int, server: Server) -> bool:
-        if now < server.full_until or self._late(now, server, 0.5):
+        if now < server.full_until or self.late(now, server, 0.5):
             return False
         pressure = self._counts.projected(server)
         return pressure is None or pressure < max(ROOM, self._counts.mean_pressure)
@@ -550,7 +549,7 @@
 
     def _not_full(self, now: int, server: Server, held: Held) -> bool:
         # Guards against a standing overload: what is piled up on a full server spoils all its connections.
-        return (now >= server.full_until and not self._late(now, server, 1.0)
+        return (now >= server.full_until and not self.late(now, server, 1.0)
                 and (self._counts.projected(server) or 0.0) < FULL - self._reserves[held.login.workload])
 
     def _in_order(self, now: int, held: Held, allowed: Callable[[Server], bool], enough: int) -> list[Server]:
@@ -578,7 +577,7 @@
         # Guards against CPU that grows with the fleet for each login: the walk ends with the first few.
         for server in order:
             if (server.ready and now >= server.full_until and allowed(server)
-                    and (not server.delay or not self._late(now, server, 0.5))
+                    and (not server.delay or not self.late(now, server, 0.5))
                     and (not server.started_at or self._cold.allows(now, server, held, self._rng))):
                 doubted = server.fails or server.silent
                 if server.id in tried or (doubted and not self._health.in_draw(now, server)):
@@ -697,8 +696,7 @@
                 counts.pop(group, None)
 
     def lend(self, server: Server, group: int) -> None:
-        """A connection of another process of this balancer stands for its return. Guards against groups that
-        scatter as their clients move over: their servers pay for them already."""
+        """One of another process stands for its return. Guards against groups that scatter meanwhile."""
         self._count(group, server, 1)
         self._lent.append((server, group))
 
@@ -746,11 +744,9 @@
             self._resends -= 1.0
         if held.workload.effect is Effect.REPEATABLE:
             return True
-        ran = self._may_have_run(held)
-        if not ran:
-            return True
+        ran, remembered = self._may_have_run(held), held.workload.dedup_window
         # A once-only login that may have run must never run again; a tagged one only while it is remembered.
-        return held.workload.effect is Effect.TAGGED and now < ran[0].sent_at + held.workload.dedup_window
+        return not ran or held.workload.effect is Effect.TAGGED and now < ran[0].sent_at + remembered
 
     def allowed(self, held: Held) -> Callable[[Server], bool]:
         ran = self._may_have_run(held) if held.workload.effect is Effect.TAGGED else []
@@ -1026,7 +1022,16 @@
         held = self._held.get(login)
         if kind is NoteKind.DELAY and server in self._roster.servers:
             known = self._roster.servers[server]
+            if not self._draw.late(now, known, LEFT_LATE):
+                known.late_since = now
             known.delay, known.delay_at = value, now
+            holders = [s for s in self._roster.ready if s.open]
+            late = [s for s in holders if self._draw.late(now, s, LEFT_LATE)]
+            # Guards against a way that is bad for this balancer alone: a server says that it has room, and still
+            # messages stay late. Where nearly all are late, or the fleet is full, there is nowhere to go.
+            if (known in late and len(late) <= LATE_PART * len(holders) and self._counts.mean_pressure < ROOM
+                    and known.read_at - known.late_since >= REPORT_LAG and (known.pressure or 0.0) < ROOM):
+                self._moves.evacuate(known, "late for this balancer alone")
             if self._counts.some_only and not self._counts.heard(now, known):
                 self._probing.ask(now, known)
         elif held is not None and kind is NoteKind.LOAD:
@@ -1062,16 +1067,14 @@
             self._place(now, held)
 
     def login_dropped(self, now: int, login: int) -> None:
-        held = self._held.get(login)
-        if held is not None:
+        if (held := self._held.get(login)) is not None:
             if self._cancel_allowed and not held.is_open and held.attempts and not held.attempts[-1].outcome:
                 self._host.cancel(login, len(held.attempts) - 1)
             self._forget(held)
 
     def probe_answered(self, now: int, server: int, delay: int, outcome: Outcome,
                        report: Report | None) -> None:
-        known = self._roster.servers.get(server)
-        if known is None:
+        if (known := self._roster.servers.get(server)) is None:
             return
         known.asked_at = 0
         if outcome is Outcome.FULFILLED:
@@ -1110,14 +1113,12 @@
 
     def server_out(self, now: int, server: int) -> None:
         """Operators take it out, listed or not: it drains until `server_back`, whatever the list says."""
-        left = self._roster.take_out(now, server)
-        if left is not None:
+        if (left := self._roster.take_out(now, server)) is not None:
             self._leave(now, left, "is taken out by hand", PROBE_PERIOD)
         self._host.close_idle(server)  # its work is to end, probes with it
 
     def server_back(self, now: int, server: int) -> None:
-        known = self._roster.put_back(now, server)
-        if known is not None:
+        if (known := self._roster.put_back(now, server)) is not None:
             self._host.log(f"server {server} is put back by hand: taken as just started")
             self._probing.started(False, [known])
 
@@ -1139,8 +1140,7 @@
     def follow(self, now: int, learned: dict[str, Any]) -> None:
         """Goes on from what another process has learned, which places no logins now."""
         for number, size, started_at, spent, fails, bars, barred_until in learned["servers"]:
-            server = self._roster.servers.get(number)
-            if server is None:
+            if (server := self._roster.servers.get(number)) is None:
                 continue
             if size is not None and server.capacity.mean is None:
                 server.capacity.add(float(size))
@@ -1157,10 +1157,8 @@
         self._followed = True
 
     def ended_elsewhere(self, now: int, server: int, load: float) -> None:
-        """Connections that another process of this balancer held have ended; reports may hold them yet.
-        Guards against clients that count twice, where they left and where they come back to."""
-        known = self._roster.servers.get(server)
-        if known is not None:
+        """Own ones of another process; reports may hold them yet. Guards against clients that count twice."""
+        if (known := self._roster.servers.get(server)) is not None:
             self._others -= 1
             self._counts.placed(now, known, self._others, -load, -load)
 
--- a/corklift/records.py
+++ b/corklift/records.py
@@ -74,6 +74,7 @@
         self.trial = 0  # the login that tries it out
         self.delay = 0.0  # how long messages take there, as last noted, and when
         self.delay_at = -3_600_000_000_000
+        self.late_since = 0  # of a lateness that lasts, when it began
         self.full_until = self.rest_until = 0
         self.cold_spent, self.cold_at = 0.0, 0
         self.probing = 0  # which turn of probes is the valid one
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -451,3 +451,25 @@
             scene.run(1)
         assert any(login == 1 for login, _ in scene.sent) or any(" 1" in line for line in scene.lines), left
         assert scene.now < limit
+
+
+@pytest.mark.parametrize("late, pressure, leaves", [((1,), 0.4, True), ((1, 2, 3), 0.4, True), ((1, 2, 3, 4), 0.4, False),
+                                                    ((1,), 0.75, False)])
+def test_connections_leave_a_server_that_is_late_for_this_balancer_alone(late, pressure, leaves):
+    # Guards against a way that is bad for one balancer of two: the server serves the other as usual, and says so.
+    def balancer_of(troubled):
+        scene = Scene(workloads=[Workload("plain", 1.0, 800 * MS, 3200 * MS, message_limit=100 * MS)])
+        scene.listed(1, 2, 3, 4)
+        scene.auto = {server: Report(10, pressure) for server in (1, 2, 3, 4)}
+        for server in (1, 2, 3, 4):
+            scene.balancer.connection_carried(scene.now, Login(server, 0, 0, 0, 0, None, 0), server)
+        scene.run(3000)
+        for second in range(4):
+            for server in late if troubled else ():
+                scene.balancer.hand_off_noted(scene.now, server, 0, server, NoteKind.DELAY, 400 * MS)
+            if second == 0:
+                assert not [line for line in scene.lines if " move " in line]  # not at the first word of it
+            scene.run(1000)
+        return {int(line.split()[-1]) for line in scene.lines if " move " in line}
+    assert balancer_of(troubled=True) == (set(late) if leaves else set())
+    assert balancer_of(troubled=False) == set()
