--- a/corklift/policy.py
+++ b/corklift/policy.py
@@ -121,7 +121,7 @@
         return left[0] if left else None
 
     def put_back(self, now: int, server: int) -> Server | None:
-        """Returns it if ready now; its start is the list's or else now, and nothing it showed before counts."""
+        """Returns it if ready now. Its start is the list's or else now; what it showed before is void."""
         out_at, known = self.out.pop(server, None), self.servers.get(server)
         if out_at is None:
             return None
@@ -227,7 +227,7 @@
     def projected(self, server: Server) -> float | None:
         """Pressure with placements since: own ones, and those taken to be made by the other balancers.
 
-        Guards against a flood of returning clients (a drain, a reconnect): each balancer sees its part of it."""
+        Guards against a flood of returning clients (a drain, a reconnect): each balancer sees a part."""
         if server.pressure is None:
             return None
         size = self.capacity(server) or self.typical  # Guards against a flood where no size is known yet
@@ -1027,7 +1027,7 @@
             known.delay, known.delay_at = value, now
             holders = [s for s in self._roster.ready if s.open]
             late = [s for s in holders if self._draw.late(now, s, LEFT_LATE)]
-            # Guards against a way that is bad for this balancer alone: a server says that it has room, and still
+            # Guards against a way that is bad for this balancer alone: a server says that it has room, its
             # messages stay late. Where nearly all are late, or the fleet is full, there is nowhere to go.
             if (known in late and len(late) <= LATE_PART * len(holders) and self._counts.mean_pressure < ROOM
                     and known.read_at - known.late_since >= REPORT_LAG and (known.pressure or 0.0) < ROOM):
@@ -1039,9 +1039,10 @@
 
     def hand_off_silent(self, now: int, server: int) -> None:
         """A line on an open connection has brought nothing back: its server is not left to the next probe."""
-        known = self._roster.servers.get(server)
-        if known is not None and not known.asked_at and not self._counts.heard(now, known):
-            self._probing.ask(now, known)
+        if (known := self._roster.servers.get(server)) is not None:
+            known.late_since = now  # it tells of that connection alone: no others leave for it
+            if not known.asked_at and not self._counts.heard(now, known):
+                self._probing.ask(now, known)
 
     def hand_off_ended(self, now: int, login: int, closed: bool, server: int, outcome: Outcome, attempt: int,
                        delay: int, report: Report | None) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -473,3 +473,17 @@
         return {int(line.split()[-1]) for line in scene.lines if " move " in line}
     assert balancer_of(troubled=True) == (set(late) if leaves else set())
     assert balancer_of(troubled=False) == set()
+
+
+def test_one_connection_that_brings_nothing_back_does_not_empty_its_server():
+    scene = Scene(workloads=[Workload("plain", 1.0, 800 * MS, 3200 * MS, message_limit=100 * MS)])
+    scene.listed(1, 2)
+    scene.auto = {server: Report(10, 0.4) for server in (1, 2)}
+    for login in range(1, 7):
+        scene.balancer.connection_carried(scene.now, Login(login, 0, 0, 0, 0, None, 0), 1 + login % 2)
+    scene.run(3000)
+    for _ in range(25):
+        scene.balancer.hand_off_noted(scene.now, 1, 0, 2, NoteKind.DELAY, 300 * MS)
+        scene.balancer.hand_off_silent(scene.now, 2)
+        scene.run(200)
+    assert not [line for line in scene.lines if " move " in line]
