--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -226,6 +226,7 @@
         elif self._server_id(name) not in self._out:
             server = self._server_id(name)
             self._out[server] = name
+            self._log(f"server {name:.80} is out by operators' word")
             self._balancer.server_out(self._scheduler.now(), server)
 
     def known_and_avoided(self) -> tuple[int, int]:
