--- a/corklift/net/overlap.py
+++ b/corklift/net/overlap.py
@@ -48,7 +48,13 @@
     def keep_looking(self) -> None:
         """Where the clients' socket is shared: follows an earlier process, and yields to a later one."""
         while self._shares and self._kin is not None:
-            self._look()
+            try:
+                self._look()
+            except OSError as problem:
+                # Guards against a folder that is taken away under it: clients are served all the same.
+                if not self._counters["looks at other processes that failed"]:
+                    self._log(f"other processes of this balancer can't be looked at: {problem}")
+                self._counters["looks at other processes that failed"] += 1
             self._scheduler.sleep(self._limits.look_pause)
 
     def take_out(self, name: str) -> bool:
--- a/tests/test_overlap.py
+++ b/tests/test_overlap.py
@@ -156,6 +156,16 @@
     os.close(write_end)
 
 
+def test_both_processes_together_hold_no_more_clients_than_one():
+    wire = Wire("up", limits={"sockets": 60})
+    wire.process.relay.held_elsewhere = wire.limits.clients - 2
+    for number in range(4):
+        wire.client(f"c{number}", 100, "OPEN 1 7f c=plain,d=2000\r\n")
+    wire.run(1000)
+    assert sorted(line.split(" < ")[1].split()[0] for line in wire.lines if " < UP" in line or " < BUSY" in line) == [
+        "BUSY", "BUSY", "UP", "UP"]
+
+
 class Served(threading.Thread):
     """A client: opens, keeps its connection for a while and sends lines; comes again when it is moved."""
 
@@ -259,6 +269,10 @@
         back = time.monotonic()
         assert call(ports[2], "POST", "uncordon", "s2") == 200
         time.sleep(1.0)
+        crashed = time.monotonic()  # the old one, while the new one gets ready
+        threading.Timer(0.2, processes[2].kill).start()
+        processes.append(start(ports[3]))
+        time.sleep(1.0)
     finally:
         for client in clients:
             client.goes_on = False
@@ -269,8 +283,10 @@
             assert "exception" not in process.stderr.read()
         peers.terminate()
         peers.wait(5)
-    ends = [end for client in clients for at, end in client.ends if not killed < at < killed + 0.5]
+    ends = [end for client in clients for at, end in client.ends if not killed < at < killed + 0.5
+            and not crashed < at < crashed + 1.0]
     assert set(ends) == {"UP", "moved"} and ends.count("moved") >= 4, ends.count("moved")
+    assert [end for client in clients for at, end in client.ends if at > crashed + 1.0].count("UP") > 3
     while_out = [name for at, name in placed if both_out + 0.2 < at < back]
     assert while_out and "s2" not in while_out and "s1" in while_out
     assert "s2" in [name for at, name in placed if at > back]
