--- a/corklift/cli.py
+++ b/corklift/cli.py
@@ -29,7 +29,7 @@
 
 @main.command(help="The balancer, configured by BALANCER_CONFIG; the same as no command.")
 def run() -> None:
-    from corklift.__main__ import balance
+    from corklift.service import balance
     sys.exit(balance())
 
 
--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from heapq import heappop, heappush
 from random import Random
@@ -61,6 +61,7 @@
         self._settled_at: int | None = None  # until then a report of nothing may be of before the start
         self._zones: dict[str, int] = {}
         self._kinds: dict[str, int] = {}
+        self._counted: int | None = None  # balancers that place, where peers tell; otherwise the settings' count holds
         self._workloads: dict[str, int] = {}  # those that logins may name
         self._all_workloads: list[Workload] = []  # and those that connections of before a new configuration have
         arguments = self._take(arguments, report_names, told, localities, kinds)
@@ -77,6 +78,7 @@
         self._probes: deque[int] = deque()
         self._prober: Task | None = None
         self.close_probes: Callable[[int], None] = lambda server: None  # whoever probes sets it
+        self.reported: Callable[[int, float], None] = lambda server, count: None  # whoever counts connections sets it
         self._balancer = Balancer(self, Random(seed), now=scheduler.now(), **arguments)
 
     def settings_changed(self, arguments: dict[str, Any], report_names: dict[str, str],
@@ -101,8 +103,9 @@
             at = self._workloads[workload.name] = numbers.setdefault(workload.name, len(numbers))
             self._all_workloads[at:at + 1] = [workload]
         zone = arguments["zone"]
-        return arguments | {"workloads": list(self._all_workloads),
-                            "zone": self._zones[localities[zone]] if zone < len(localities) else zone}
+        self._arguments = arguments | {"workloads": list(self._all_workloads),
+                                       "zone": self._zones[localities[zone]] if zone < len(localities) else zone}
+        return self._arguments if self._counted is None else self._arguments | {"balancers": self._counted}
 
     # What the relay calls
 
@@ -201,6 +204,22 @@
         """Others have placed so many logins on this server, and so many of them failed."""
         self._balancer.placed_by_others(self._scheduler.now(), self._server_id(name), number, failed)
 
+    # What a part calls that knows the other balancers
+
+    def balancers(self, number: int) -> None:
+        """So many balancers place logins, this one too: whatever the settings told or tell later."""
+        if number != self._counted:
+            self._counted = number
+            self._balancer.settings_changed(self._scheduler.now(), **self._arguments | {"balancers": number})
+
+    def own_connections(self) -> dict[int, int]:
+        """By server, the connections and hand-offs of this balancer that its report may hold."""
+        return Counter(ticket.place.server for ticket in self._tickets.values() if ticket.place is not None)
+
+    def listed_servers(self) -> set[int]:
+        """All that may hold connections, draining ones too."""
+        return set(self._listed)
+
     # What operators' calls do
 
     def take_out(self, name: str) -> bool:
@@ -300,7 +319,10 @@
             # stood there is only coming up, and counts and pressures are not renewed together.
             self._counters["early reports of nothing"] += 1
             outcome, values = Outcome.NOT_SENT, None  # not heard of, so it is asked again when that matters
-        self._balancer.probe_answered(self._scheduler.now(), server, took, outcome, self._report(values))
+        report = self._report(values)
+        self._balancer.probe_answered(self._scheduler.now(), server, took, outcome, report)
+        if report is not None and report.count is not None:
+            self.reported(server, report.count)
 
     def all_heard(self) -> bool:
         """Whether a probe of every ready server has come to an end."""
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -193,9 +193,13 @@
         self._left -= 1
         if self._dropped:
             text, self._dropped = f"{text} ({self._dropped} lines before this were dropped)", 0
-        self._queue.append(f"corklift: {text}"[:2000].replace("\n", " | "))
+        self._queue.append(self.form(text))
         self.wake()
 
+    def form(self, text: str) -> str:
+        """A line as it is written."""
+        return f"corklift: {text}"[:2000].replace("\n", " | ")
+
     @property
     def waiting(self) -> bool:
         return bool(self._queue)
--- /dev/null
+++ b/corklift/service.py
@@ -0,0 +1,248 @@
+"""The parts of one balancer put together, started, told of a new configuration and ended.
+
+Owns the order of these. What `run` has is here; a program with more, as `serve`, hands further parts in: one that is
+absent is absent, and the others go by a plain default (alone, the file's settings). Must never decide.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import socket
+import sys
+import traceback
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any, Protocol
+
+from corklift.configuration import Configuration, read
+from corklift.interface import Scope
+from corklift.net.admin import Admin, Desk, figures
+from corklift.net.facade import Facade
+from corklift.net.kin import folder
+from corklift.net.limits import MS, SECOND, BadConfig, Counters, Printer, Seconds
+from corklift.net.overlap import Overlap
+from corklift.net.relay import Relay
+from corklift.net.scheduler import WRITE, Scheduler, wall_clock
+from corklift.net.stream import Stream
+from corklift.net.upkeep import Probes, Watch
+from corklift.settings import left_out
+
+
+def inherited(text: str) -> socket.socket:
+    """The listening socket that this process was started with."""
+    problem: object = "is no number"
+    if text.isascii() and text.isdecimal():
+        try:
+            sock = socket.socket(fileno=int(text))
+            if sock.family == socket.AF_INET and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                sock.setblocking(False)
+                return sock
+            sock.detach()
+            problem = "is no listening socket over IPv4"
+        except (OSError, OverflowError) as found:
+            problem = found
+    raise BadConfig(f"environment: BALANCER_LISTEN_FD holds {text!r:.40}: {problem}")
+
+
+class Part(Protocol):
+    """What a program has beside the parts of `run`."""
+
+    def jobs(self) -> Sequence[Callable[[], None]]: ...  # tasks that last as long as the process
+    def leave(self) -> None: ...  # told to stop: new clients come for a moment yet
+    def left(self) -> None: ...  # the last client has gone; may wait, not for long
+
+
+class Process:
+    """The parts of one balancer, put together."""
+
+    def __init__(self, config: Any, now: Callable[[], int] | None = None, poller: Any = None, *,
+                 read_anew: Callable[[], Any] = lambda: read(os.environ.get("BALANCER_CONFIG")),
+                 printer: Callable[..., Printer] = Printer, parts: Sequence[Callable[[Process], Part]] = ()) -> None:
+        """`read_anew`: the configuration anew, at SIGHUP; `parts`: what this program has beside those of `run`."""
+        self.counters = Counters()
+        self._read = read_anew
+        now = now or wall_clock()
+        self._admin_told = os.environ.get("BALANCER_ADMIN_ADDR")  # of this process, so it goes before the file's
+        self._configuration = given = Configuration.of(config, self._admin_told)
+        self.limits = limits = given.limits
+        self.printer = printer(limits, now, self.counters)
+        self.scheduler = scheduler = Scheduler(now, self._failed, poller)
+        self.facade = Facade(scheduler, given.seed, given.arguments, given.report_names, given.told,
+                             given.localities, given.kinds, limits.settle_time, self.printer.say, self.counters)
+        self.relay = Relay(scheduler, limits, self.counters, self.facade)
+        listen_fd = os.environ.get("BALANCER_LISTEN_FD", "")
+        self.port = self.relay.share(inherited(listen_fd)) if listen_fd else self.relay.listen(given.listen)
+        self._shares = bool(listen_fd)
+        name = os.environ.get("BALANCER_NAME") or ("%s:%d" % given.listen if given.listen[1] else "")
+        place = folder(os.environ.get("TMPDIR"), name)
+        self.overlap = Overlap(scheduler, limits, self.counters, lambda text: self.printer.say(text, always=True),
+                               self.facade, self.relay, place, self._shares)
+        self.probes = Probes(scheduler, limits, self.counters, self.facade, given.kept_for)
+        self.watch = Watch(scheduler, limits, self.counters, self.printer, self.facade, given.discovery,
+                           Random(given.seed ^ 1),
+                           given.known.version if given.known.whole and given.known.entries else None)
+        self.admin = Admin(scheduler, limits, self.counters, Desk(self))
+        self.admin_port = self.admin.listen(given.admin) if given.admin else 0
+        self._stopping = False
+        self._parts = [part(self) for part in parts]
+
+    @property
+    def configuration(self) -> Configuration:
+        """What is in force."""
+        return self._configuration
+
+    def start(self) -> None:
+        scheduler = self.scheduler
+        printing = scheduler.spawn(self._keep_printing)
+        self.printer.wake = lambda: scheduler.wake(printing)
+        self.overlap.join()
+        self.facade.listed(Scope.CACHED, self._configuration.known)
+        for job in (self.facade.keep_ticking, self.probes.keep_probing, self.watch.keep_watching,
+                    self.admin.keep_accepting, self.relay.keep_accepting, self._get_ready, self._keep_telling,
+                    self.overlap.keep_looking, *(job for part in self._parts for job in part.jobs())):
+            scheduler.spawn(self._keep, job)
+
+    def _keep(self, job: Callable[[], None]) -> None:
+        """Runs one of the jobs that all connections live on, and runs it again if an exception ends it."""
+        again = False
+        while True:
+            try:
+                if again:
+                    self.scheduler.sleep(20 * MS)  # within, as it may be interrupted too
+                return job()
+            except Exception:
+                again = True
+                self._failed(traceback.format_exc(limit=-4))
+
+    def reload(self) -> None:
+        """Takes what a new configuration changes; clients, the list and all counts stay. A bad one changes nothing."""
+        old = self._configuration
+        try:
+            new = Configuration.of(self._read(), self._admin_told)
+            # The list is for a start only, and whoever leaves the operators' address out keeps it.
+            lacks = left_out(old.whole | {"known": None, "admin_addr": None}, new.whole | {"admin_addr": None})
+            if lacks is not None:
+                raise BadConfig(f"config: {lacks} is missing, which the configuration in force has")
+            if new.listen != old.listen and not self._stopping and not self._shares:
+                self.port = self.relay.listen(new.listen)
+            if new.admin != old.admin and new.admin is not None:
+                self.admin_port = self.admin.listen(new.admin)
+        except (BadConfig, OSError) as problem:
+            self.counters["configurations refused"] += 1
+            what = problem if isinstance(problem, BadConfig) else f"config: listen: {problem}"
+            self.printer.say(f"{what}; the old configuration stays in force", always=True)
+            return
+        self._configuration, self.limits = new, new.limits
+        self.printer.limits = new.limits
+        self.facade.settings_changed(new.arguments, new.report_names, new.told, new.localities, new.kinds)
+        self.relay.reconfigure(new.limits)
+        self.admin.reconfigure(new.limits)
+        self.probes.reconfigure(new.limits, new.kept_for)
+        self.watch.follow(new.discovery, new.limits)
+        changed = sorted({name if name in ("listen", "discovery", "seed", "known", "limits", "admin") else "settings"
+                          for name in new._fields if name != "whole" and getattr(new, name) != getattr(old, name)})
+        self.counters["configurations taken"] += 1
+        self.printer.say(f"configuration read anew, changed: {' '.join(changed) or 'nothing'}", always=True)
+
+    # What operators ask and tell
+
+    def serves(self) -> bool:
+        return self.relay.serves and self.overlap.serves and not self._stopping
+
+    def figures(self) -> str:
+        known, avoided = self.facade.known_and_avoided()
+        return figures(self.counters, self.facade.workloads(), self.relay.in_flight, known, avoided)
+
+    def take_out(self, name: str) -> bool:
+        return self.overlap.take_out(name)
+
+    def put_back(self, name: str) -> bool:
+        return self.overlap.put_back(name)
+
+    def run(self, early: Sequence[int] = ()) -> None:
+        """Serves until told to stop; `early` holds the signals to reload that came while it was put together."""
+        self.scheduler.on_signal(signal.SIGHUP, lambda: self.scheduler.spawn(self.reload))
+        if early:
+            self.scheduler.spawn(self.reload)
+        self.scheduler.on_signal(signal.SIGTERM, self.leave)
+        self.scheduler.on_signal(signal.SIGINT, self.leave)
+        self.scheduler.on_signal(signal.SIGUSR1, self._tell_counters)
+        self.start()
+        # Guards against collector pauses: what stands from the start is never walked again.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(50_000, 20, 20)
+        self.scheduler.run()
+        self._tell_counters()
+        self.printer.print_all()
+
+    def _tell_counters(self) -> None:
+        self.counters["sockets open"] = Stream.open_now
+        self.printer.say(self.counters.text(), always=True)
+
+    def _get_ready(self) -> None:
+        """Serves, as PING is told, once the list and a first count of each server are there, or soon anyway."""
+        until = self.scheduler.now() + self.limits.ready_time
+        while self.scheduler.now() < until and not (self.watch.told and self.facade.all_heard()):
+            self.scheduler.sleep(25 * MS)
+        self.relay.ready = True
+
+    def leave(self) -> None:
+        if not self._stopping:
+            self._stopping = True
+            self.printer.say("told to stop")
+            self.overlap.leave()
+            for part in self._parts:
+                part.leave()
+            self.scheduler.spawn(self._see_out)
+
+    def _see_out(self) -> None:
+        try:
+            self.relay.stop()
+            for part in self._parts:
+                part.left()
+        finally:
+            self.scheduler.stop()
+
+    def _failed(self, trace: str) -> None:
+        self.counters["exceptions"] += 1
+        self.printer.say(f"exception: {trace}")
+
+    def _keep_telling(self) -> None:
+        seconds = Seconds(self.counters)
+        while True:
+            self.scheduler.sleep(SECOND)
+            line = seconds.line()
+            if line is not None:
+                self.printer.say(line)
+
+    def _keep_printing(self) -> None:
+        while True:
+            if not self.printer.waiting:
+                self.scheduler.wait({})
+            elif self.scheduler.wait({sys.stderr.fileno(): WRITE}):
+                self.printer.print_one()
+
+
+def balance() -> int:
+    """`run`: the balancer alone, from BALANCER_CONFIG."""
+    return carry_on(lambda: Process(read(os.environ.get("BALANCER_CONFIG"))))
+
+
+def carry_on(make: Callable[[], Process]) -> int:
+    """Makes a process and serves until it is told to stop; returns how the program ends."""
+    # Guards against the signal's usual effect, an end, and its loss before the first configuration is in use.
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+    try:
+        process = make()
+    except BadConfig as problem:
+        print(f"corklift: {problem}", file=sys.stderr)
+        return 2
+    except OSError as problem:
+        print(f"corklift: listen: {problem}", file=sys.stderr)
+        return 2
+    process.run(early)
+    return 0
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from random import Random
 
-from corklift.__main__ import Process
+from corklift.service import Process
 from corklift.interface import ColdRule, Listed, Login, Outcome, Report, Scope, Status, Workload
 from corklift.net.scheduler import READ, WRITE
 from corklift.net.stream import Stream
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -508,8 +508,8 @@
     config = tmp_path / "config.json"
     config.write_text((ROOT / "examples/config.json").read_text().replace("127.0.0.1:9000", "127.0.0.1:0"))
     code = ("import sys, runpy, os, signal\n"
-            "import corklift.__main__ as m\n"
-            "m.Process.run = lambda self, early: None\n"
+            "import corklift.__main__ as m, corklift.service as s\n"
+            "s.Process.run = lambda self, early: None\n"
             "sys.argv = ['corklift']\n"
             "assert m.main() == 0\n"
             "names = {name.partition('.')[0] for name in sys.modules}\n"
--- a/tests/test_overlap.py
+++ b/tests/test_overlap.py
@@ -15,7 +15,7 @@
 import pytest
 from scene import MS, Scene, Wire
 
-from corklift.__main__ import inherited
+from corklift.service import inherited
 from corklift.interface import ColdRule, Outcome, Report
 from corklift.net.kin import Kin
 from corklift.net.limits import BadConfig
