--- /dev/null
+++ b/corklift/lab/peers.py
@@ -0,0 +1,254 @@
+"""Members in virtual time, among links that lose, delay and stall messages, and processes that stop, die and come back.
+
+Owns what is true: who lives, who is stopped, which messages pass, how many connections stand at the servers. Drives the
+product's own core through its host. Must never hold a copy of its decisions. One seed gives one history.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from random import Random
+from typing import Any, NamedTuple
+
+from corklift.lab.clock import MS, SECOND
+from corklift.membership.core import Members, Pace
+from corklift.membership.messages import Message, Standing, Word, decode, encode
+
+REFUSED_AFTER = MS  # a connect to a port where nobody listens ends
+HEADS = 60  # bytes of HTTP/2 and gRPC beside a message, measured on loopback with the driver
+LOOK = 4  # times a period that what members hold is compared with the truth
+
+
+class Shape(NamedTuple):
+    members: int = 8
+    period: int = SECOND
+    loss: float = 0.0  # of messages
+    delay: int = 5 * MS  # at most; even from a fifth of it
+    servers: int = 3
+    settled: bool = False  # all know all from the start
+    joins: int = 3  # addresses that a file names
+    bytes: bool = False  # encode each message, for its size
+
+
+class Seat:
+    """One process's surroundings: the host that its core acts on."""
+
+    def __init__(self, net: Net, number: int) -> None:
+        self.net, self.number = net, number
+        self.name, self.address = f"b{number}", f"10.0.{number >> 8}.{number & 255}:7000"
+        self.alive = self.stopped = self.left = False
+        self.life = 0  # of its processes: what was meant for an earlier one is void
+        self.core: Any = None
+        self.uses = 0
+        self.refusals: list[str] = []
+        self.late: list[Callable[[], None]] = []  # what came while it was stopped
+        self.held = 0  # connections
+        self.calls: dict[int, Callable[[Message], None]] = {}
+        self.next_call = 0
+        self.sent_bytes = self.sent = 0
+        self.said: dict[int, set[str]] = {}  # lives that this one called dead
+
+    def start(self, name: str = "", address: str = "") -> None:
+        net = self.net
+        self.name, self.address = name or self.name, address or self.address
+        self.life += 1
+        self.alive, self.stopped, self.left, self.late, self.calls = True, False, False, [], {}
+        self.refusals = []
+        others = [net.seats[at].address for at in range(min(net.shape.joins, len(net.seats)))]
+        self.core = net.make(self, net.rng, Pace(net.shape.period), net.now, name=self.name, address=self.address, join=others,
+                             expected=net.shape.members)
+        net.by_address[self.address] = self
+        self.core.start()
+        self.hold(self.held)
+        self.tick()
+
+    @property
+    def places(self) -> bool:
+        return self.alive and not self.left and not self.refusals and self.core.admitted
+
+    def run(self, life: int, act: Callable[[], None]) -> None:
+        """Now, or when it goes on, if it is still the same process."""
+        if not self.alive or self.life != life:
+            return
+        if self.stopped:
+            self.late.append(lambda: self.run(life, act))
+        else:
+            act()
+
+    def tick(self) -> None:
+        due, life = self.core.tick(self.net.now), self.life
+        self.net.at(due, lambda: self.run(life, self.tick))
+
+    def hold(self, connections: int) -> None:
+        self.held = connections
+        self.core.holds(self.net.now, connections)
+
+    def kill(self) -> None:
+        self.alive, self.held = False, 0
+        if self.net.by_address.get(self.address) is self:
+            del self.net.by_address[self.address]
+
+    def leave(self) -> None:
+        self.held = 0
+        self.core.leave(self.net.now)
+        self.left = True
+        life = self.life
+        self.net.at(self.net.now + self.net.shape.period // 2, lambda: self.life == life and self.kill())
+
+    # Host
+
+    def ask(self, ask: int, address: str, name: str, message: Message, until: int) -> None:
+        net, life = self.net, self.life
+        self._sent(message)
+
+        def ends(act: Callable[[], None]) -> None:
+            self.run(life, act)
+        net.at(until, lambda: ends(lambda: self.core.unanswered(net.now, ask)))  # of no effect once it was answered
+        to = net.by_address.get(address)
+        if to is None:
+            if net.refuses:
+                net.at(net.now + REFUSED_AFTER, lambda: ends(lambda: self.core.unanswered(net.now, ask)))
+            return
+        their_life = to.life
+
+        def reply(answer: Message) -> None:
+            to._sent(answer)
+            if net.passes(to, self):
+                net.at(net.now + net.delay(), lambda: ends(lambda: self.core.answered(net.now, ask, net.carried(answer))))
+
+        def arrive() -> None:
+            call, to.next_call = to.next_call, to.next_call + 1
+            to.calls[call] = reply
+            to.core.called(net.now, call, net.carried(message))
+        if net.passes(self, to):
+            net.at(net.now + net.delay(), lambda: to.run(their_life, arrive))
+
+    def reply(self, call: int, message: Message) -> None:
+        self.calls.pop(call)(message)
+
+    def changed(self, word: Word, was: Standing | None) -> None:
+        if word.standing == Standing.DEAD:
+            self.net.called_dead(self, word)
+        self.net.heard(self, word)
+
+    def counted(self, number: int) -> None:
+        self.uses = number
+
+    def refused(self, why: str) -> None:
+        self.refusals.append(why)
+        life = self.life
+        self.net.at(self.net.now, lambda: self.run(life, self.leave))
+
+    def log(self, text: str) -> None:
+        pass
+
+    def _sent(self, message: Message) -> None:
+        self.sent += 1
+        if self.net.shape.bytes:
+            self.sent_bytes += len(encode(message)) + HEADS
+
+
+class Net:
+    """Processes and what lies between them."""
+
+    def __init__(self, shape: Shape, seed: int, make: Callable[..., Any] = Members) -> None:
+        self.shape, self.rng, self.make = shape, Random(seed), make
+        self.now = 1_000 * SECOND
+        self._queue: list[tuple[int, int, Callable[[], Any]]] = []
+        self._number = 0
+        self.by_address: dict[str, Seat] = {}
+        self.seats = [Seat(self, number) for number in range(shape.members)]
+        self.cut: set[tuple[int, int]] = set()  # directed pairs between which nothing passes
+        self.loss = shape.loss
+        self.refuses = True  # whether a killed process's machine still answers
+        self.deaths: list[tuple[int, str, str]] = []  # when, by whom, who was called dead while its process lived
+        self.dead_at: dict[tuple[str, int], dict[int, int]] = {}  # by name and life, when each came to know of its death
+        self.too_low = 0  # ns times members, in which a count in use was under the number that placed
+        self.too_low_first = ""
+        self.heard: Callable[[Seat, Word], None] = lambda seat, word: None
+
+    def at(self, when: int, act: Callable[[], Any]) -> None:
+        self._number += 1
+        heappush(self._queue, (when, self._number, act))
+
+    def after(self, periods: float, act: Callable[[], Any]) -> None:
+        self.at(self.now + int(periods * self.shape.period), act)
+
+    def run(self, periods: float) -> None:
+        until = self.now + int(periods * self.shape.period)
+        while self._queue and self._queue[0][0] <= until:
+            self.now, _, act = heappop(self._queue)
+            act()
+        self.now = until
+
+    def delay(self) -> int:
+        return int(self.shape.delay * self.rng.uniform(0.2, 1.0))
+
+    def carried(self, message: Message) -> Message:
+        return decode(encode(message)) if self.shape.bytes else message
+
+    def passes(self, a: Seat, b: Seat) -> bool:
+        return (a.number, b.number) not in self.cut and self.rng.random() >= self.loss
+
+    def start(self) -> None:
+        for seat in self.seats:
+            seat.start()
+        if self.shape.settled:
+            for seat in self.seats:
+                for other in self.seats:
+                    if other is not seat:
+                        seat.core._take(self.now, other.core.me)
+                seat.core._fresh.clear()
+                seat.core.joined = True
+
+    def stop(self, seat: Seat, periods: float) -> None:
+        """SIGSTOP; after that it goes on: with its timers first, or with what came meanwhile."""
+        if not seat.alive or seat.stopped:
+            return
+        seat.stopped, life = True, seat.life
+
+        def go_on() -> None:
+            if seat.alive and seat.life == life and seat.stopped:
+                seat.stopped = False
+                late, seat.late = seat.late, []
+                if self.rng.random() < 0.5:
+                    late.reverse()
+                for act in late:
+                    act()
+        self.after(periods, go_on)
+
+    def called_dead(self, by: Seat, word: Word) -> None:
+        seat = self.by_address.get(word.address)
+        if seat is not None and seat.core.me.life == word.life and not seat.left:
+            self.deaths.append((self.now, by.name, word.name))
+        else:
+            self.dead_at.setdefault((word.name, word.life), {}).setdefault(by.number, self.now)
+
+    # Connections, and whether the counts in use are under the number that really places
+
+    def keep_looking(self) -> None:
+        """Connections come and go, servers tell how many they hold, and what members hold is compared with the truth."""
+        shape, rng = self.shape, self.rng
+        span = shape.period // LOOK
+
+        def look() -> None:
+            placing = 0
+            for seat in self.seats:
+                if seat.places:
+                    placing += 1
+                    if not seat.stopped:
+                        seat.hold(max(1, seat.held + rng.choice((-1, 0, 0, 0, 1))))
+            held = sum(seat.held for seat in self.seats)
+            for seat in self.seats:
+                if seat.alive and not seat.stopped and not seat.left:
+                    for server in range(shape.servers):  # each holds a part of all
+                        part = held // shape.servers + (server < held % shape.servers)
+                        if rng.random() < 1 / LOOK:
+                            seat.core.reported(self.now, f"s{server}", part, {f"s{n}" for n in range(shape.servers)})
+                    if seat.uses < placing:
+                        self.too_low += span
+                        self.too_low_first = self.too_low_first or (
+                            f"{seat.name} counted {seat.uses} where {placing} placed, at {self.now // MS} ms")
+            self.at(self.now + span, look)
+        look()
