--- a/corklift/cli.py
+++ b/corklift/cli.py
@@ -33,6 +33,62 @@
     sys.exit(balance())
 
 
+@main.command(help="The balancer with peers, configured by a TOML file; see docs/operate/peers.md.")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--check", is_flag=True, help="Only read the file and say whether it holds.")
+def serve(file: str, check: bool) -> None:
+    from corklift.net.limits import BadConfig
+    from corklift.serve import check as look
+    from corklift.serve import main as start
+    if not check:
+        sys.exit(start(file))
+    try:
+        click.echo(look(file))
+    except BadConfig as problem:
+        raise click.ClickException(str(problem)) from None
+
+
+@main.group(help="Balancers that know each other: who lives, by one of them. See docs/operate/peers.md.")
+def peers() -> None:
+    pass
+
+
+def _ask_peer(address: tuple[str, int], path: str, request: bytes) -> bytes:
+    from corklift.membership.peers import question
+    from corklift.rpc.core import RpcError
+    try:
+        return bytes(question(address, path, request))
+    except RpcError as problem:
+        raise click.ClickException(f"{address[0]}:{address[1]}: {problem}") from None
+
+
+@peers.command("status", help="Whom one balancer holds for living, suspect, dead or gone, and what it counts.")
+@click.argument("address", type=_Address())
+@click.option("--json", "as_json", is_flag=True)
+def peers_status(address: tuple[str, int], as_json: bool) -> None:
+    import json
+
+    from corklift.membership.peers import STATUS
+    content = _ask_peer(address, STATUS, b"")
+    if as_json:
+        click.echo(content)
+        return
+    told = json.loads(content)
+    click.echo(f"{told['name']} counts {told['count']} balancers" + ("" if told["joined"] else ", has not joined yet"))
+    for row in told["members"]:
+        click.echo(f"{row['name']:20} {row['standing']:8} {row['address']:22} incarnation {row['incarnation']:<4} "
+                   f"{row['zone']} {row['version']}")
+
+
+@peers.command("forget", help="Says for a balancer that is held for dead that it is gone for good: it is counted no longer.")
+@click.argument("address", type=_Address())
+@click.argument("name")
+def peers_forget(address: tuple[str, int], name: str) -> None:
+    from corklift.membership.peers import FORGET
+    _ask_peer(address, FORGET, name.encode())
+    click.echo(f"{name} is gone")
+
+
 @main.group(invoke_without_command=True, help="The control service: placement choices for proxies, through xDS.")
 @click.option("--config", type=click.Path(dir_okay=False), help="TOML; see docs/operate/control.md.")
 @click.option("--check", is_flag=True, help="Only read the configuration and say whether it holds.")
--- a/corklift/lab/peers.py
+++ b/corklift/lab/peers.py
@@ -200,7 +200,7 @@
                     if other is not seat:
                         seat.core._take(self.now, other.core.me)
                 seat.core._fresh.clear()
-                seat.core.joined = True
+                seat.core.joined = seat.core._introduced = True
 
     def stop(self, seat: Seat, periods: float) -> None:
         """SIGSTOP; after that it goes on: with its timers first, or with what came meanwhile."""
--- a/corklift/membership/core.py
+++ b/corklift/membership/core.py
@@ -115,6 +115,10 @@
         self._join_at, self._join_tries = now, 0
         self.joined = not self._join
         self._unheard = set(self._join)  # addresses to join by that have not been tried to the end
+        self._introduced = self.joined
+        self._greeted: set[str] = set()  # members that were told of this one, or did not answer
+        self._greeting = 0  # calls for that under way
+        self._paged_through = False  # all that a peer holds has come once
         self._page_at = self._retry_at = now
         self._cursor = ""  # how far pages went
         self._verifying = False
@@ -136,6 +140,8 @@
             self._expects = now + self._pace.period
             return self._expects
         self._keep_joining(now)
+        if self.joined and not self._introduced:
+            self._introduce(now)
         self._keep_probing(now)
         self._end_suspicions(now)
         self._retry(now)
@@ -144,6 +150,8 @@
             due = [self._probe.ends] + ([self._probe.relays_at] if not self._probe.relays and not self._probe.acked else [])
         if not self.joined:
             due.append(self._join_at)
+        elif not self._introduced:
+            due.append(now + self._pace.period // 4)
         due += [held.due for held in self._suspicions.values()] if not self._doubts_until else []
         self._expects = max(now + 1, min(due))
         return self._expects
@@ -204,6 +212,10 @@
         else:
             self._host.reply(call, self._message(now, UNKNOWN, why=f"{message.kind[:40]!r} is not known here"))
 
+    def woke(self, now: int) -> None:
+        """Something is about to be placed: a process that was stopped sees that first, and counts for placing whoever may be."""
+        self._noticed(now)
+
     def holds(self, now: int, connections: int) -> None:
         """So many connections stand at servers through this balancer."""
         self.count.holds(now, connections)
@@ -237,10 +249,11 @@
 
     @property
     def admitted(self) -> bool:
-        """Whether it may place: a peer has let it in, or none answers at any address that it was given.
+        """Whether it may place: a peer has let it in and all that it knows of were told of it, or none answers at any address.
 
-        Guards against a second process of one name that places until it is refused."""
-        return self.joined or not self._unheard
+        Guards against a second process of one name that places until it is refused, and against members that divide a cold
+        server's budget by a count which does not hold this one yet. Costs a start a period or so."""
+        return self._introduced or not self._unheard and not self.joined
 
     @property
     def living(self) -> list[Word]:
@@ -292,11 +305,13 @@
             self._take(now, word)
         if message.digest != self._digest and not self._leaving and now >= self._page_at and sender.standing == ALIVE:
             # A page a period, from where the last one ended: what differs comes round without a burst.
-            self._page_at = now + int(self._pace.page_every * self._pace.period * self._rng.uniform(0.75, 1.25))
+            span = self._pace.page_every * self._pace.period * self._rng.uniform(0.75, 1.25)
+            self._page_at = now + int(span if self._introduced else span / 8)
             self._ask(now, SYNC, sender, cursor=self._cursor, done=self._paged)
 
     def _paged(self, now: int, message: Message | None) -> None:
         self._cursor = message.cursor if message is not None and message.kind == ACK else ""
+        self._paged_through = self._paged_through or message is not None and message.kind == ACK and not message.cursor
 
     # Words
 
@@ -512,9 +527,22 @@
                 self._refused(answer.why)
             elif answer.kind == ACK and not self.joined:
                 self.joined = True
+                self._paged_through = answer.digest == self._digest
                 self._host.log(f"joined by {answer.sender.name} at {address}")
         self._ask(now, JOIN, Word("", address, 0, 0, 0, ALIVE), address=address, done=done)
 
+    def _introduce(self, now: int) -> None:
+        """Tells of itself to all that it knows of, a few at a time."""
+        def done(at: int, answer: Message | None) -> None:
+            self._greeting -= 1
+        alike = self._paged_through or all(word.standing > SUSPECT for word in self.table.values())
+        left = [word for word in self.living if word.name not in self._greeted]
+        for word in left[:self._pace.words]:
+            self._greeted.add(word.name)
+            self._greeting += 1
+            self._ask(now, PING, word, done=done)
+        self._introduced = alike and not left and not self._greeting
+
     def _let_in(self, now: int, call: int, message: Message) -> None:
         """One that starts or comes back. Its name is its own unless a process that answers has it."""
         word = message.sender
--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 from heapq import heappop, heappush
 from random import Random
@@ -66,7 +66,9 @@
         self._all_workloads: list[Workload] = []  # and those that connections of before a new configuration have
         arguments = self._take(arguments, report_names, told, localities, kinds)
         self._tickets: dict[int, Ticket] = {}
+        self._standing = 0  # of them, connections
         self._next_login = 1
+        self.before_placing: Callable[[], None] = lambda: None  # whoever must see that this process was stopped sets it
         self._names: dict[int, str] = {}
         self._addresses: dict[int, tuple[str, int]] = {}
         self._ready: set[int] = set()  # by the list
@@ -125,6 +127,7 @@
 
     def pick(self, opening: Opening, time_limit_at: int) -> tuple[Ticket, Place | Refusal]:
         """A login has come; blocks until it is decided where it goes."""
+        self.before_placing()
         ticket = self._ticket(time_limit_at)
         now = self._scheduler.now()
         self._settled_at = self._settled_at or now + self._settle_time
@@ -144,6 +147,7 @@
         """The hand-off has become a connection."""
         assert ticket.place is not None
         now = self._scheduler.now()
+        self._standing += 1
         self._balancer.hand_off_started(now, ticket.number, ticket.hand_offs - 1, ticket.place.server,
                                         now - ticket.sent_at)
 
@@ -153,6 +157,7 @@
         self._settled_at = now + self._settle_time
         ticket = self._ticket(now)
         ticket.place, ticket.hand_offs, ticket.sent_at = Place(server, self._addresses[server], now), 1, now
+        self._standing += 1
         self._balancer.connection_carried(now, self._login(ticket, opening), server)
         return ticket
 
@@ -161,6 +166,7 @@
         if self._tickets.pop(ticket.number, None) is not None:
             assert ticket.place is not None
             now = self._scheduler.now()
+            self._standing -= 1
             self._balancer.hand_off_ended(now, ticket.number, True, ticket.place.server, outcome,
                                           ticket.hand_offs - 1, now - ticket.sent_at, self._report(values))
 
@@ -212,9 +218,10 @@
             self._counted = number
             self._balancer.settings_changed(self._scheduler.now(), **self._arguments | {"balancers": number})
 
-    def own_connections(self) -> dict[int, int]:
-        """By server, the connections and hand-offs of this balancer that its report may hold."""
-        return Counter(ticket.place.server for ticket in self._tickets.values() if ticket.place is not None)
+    @property
+    def standing(self) -> int:
+        """Connections that stand at servers through this balancer."""
+        return self._standing
 
     def listed_servers(self) -> set[int]:
         """All that may hold connections, draining ones too."""
--- a/corklift/net/overlap.py
+++ b/corklift/net/overlap.py
@@ -38,7 +38,10 @@
     def join(self) -> None:
         """Takes in what earlier processes were told, before any login."""
         if not (self._shares or self._path and os.path.isdir(self._path)) or not self._enter():
-            self._shares = False  # alone, as far as can be known
+            if self._shares:
+                # Guards against a door that nobody opens, where the system gives the processes no place to meet.
+                self._shares = False  # alone, as far as can be known
+                self._relay.take_clients(True)
             return
         living, ended = self._kin.others()
         self._take_words(living + ended)
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -51,7 +51,8 @@
         self._past: dict[str, int] = {}  # names of those that have ended, oldest first, and until when they are known
         self._open: dict[int, Ticket] = {}
         self._turning_away = False
-        self._taking = self._shared = False  # clients are taken in; from a socket that other processes share
+        self._taking = True  # clients are taken in, not left in the queue
+        self._shared = False  # other processes take clients from the same socket
         self.held_elsewhere = 0  # clients that other processes of this balancer hold
         self._standing = 0  # connections of before the start that are being brought up
 
@@ -76,7 +77,7 @@
 
     def share(self, sock: socket.socket) -> int:
         """The door is a socket that is held for this process; clients stay in its queue until they are taken."""
-        self._shared = True
+        self._shared, self._taking = True, False
         return self._listen(sock)
 
     def take_clients(self, wanted: bool) -> None:
@@ -98,11 +99,11 @@
     def keep_accepting(self) -> None:
         self._acceptor = self._scheduler.current
         while True:
-            if self._shared and not self._taking:
+            if not self._taking:
                 self._scheduler.wait({})
                 continue
             got = self._scheduler.wait({listener.fileno(): READ for listener in self._listeners})
-            if self._shared and not self._taking:
+            if not self._taking:
                 continue
             if len(self._waiting) >= self._limits.waiting:
                 self._make_room()
--- /dev/null
+++ b/corklift/serve.py
@@ -0,0 +1,140 @@
+"""`corklift serve FILE.toml`: the balancer of `run` with further parts, each switched on by its own table of the file.
+
+Owns the form of that file and of the log. The table `[balancer]` holds the keys of `run`'s configuration, checked by the same
+code. Must never be imported by `run`.
+"""
+
+from __future__ import annotations
+
+import socket
+import sys
+import tomllib
+from collections.abc import Callable
+from functools import partial
+from typing import Annotated, Any
+
+import msgspec
+import structlog
+from msgspec import Meta
+
+from corklift.configuration import Configuration
+from corklift.membership.peers import Peers, split
+from corklift.net.limits import BadConfig, Counters, Limits, Printer, allow_sockets
+from corklift.service import Part, Process, carry_on
+from corklift.typed import Table, fault
+
+Name = Annotated[str, Meta(min_length=1, max_length=100, pattern=r"^[!-~]+$")]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+REFUSED = 3  # how the program ends where its name is in use
+
+
+class PeersTable(Table):
+    name: Name  # of this balancer, its own in the fleet
+    listen: Address
+    join: list[Address] = []  # any of the others, or all
+    advertise: Address | None = None  # where others reach `listen`, if elsewhere
+    expected: Annotated[int, Meta(ge=1, le=4096)] | None = None  # balancers that there may be; settings.balancers by default
+    zone: Annotated[str, Meta(max_length=100)] = ""
+    period_ms: Annotated[int, Meta(ge=20, le=60_000)] = 1000  # between two probes
+    links: Annotated[int, Meta(ge=4, le=256)] = 16  # to peers, kept
+    via: dict[str, Address] = {}  # by name or address of a peer, where it is reached from here instead
+
+    @property
+    def at(self) -> tuple[str, int]:
+        return split(self.listen)
+
+    @property
+    def told(self) -> str:
+        return self.advertise or ("" if self.at[1] == 0 else self.listen)
+
+
+class ServeTable(Table):
+    balancer: dict[str, Any]
+    peers: PeersTable | None = None
+
+    def whole(self) -> dict[str, Any]:
+        """What `run` would be given; descriptors for peers are put aside, so that clients never take the last one."""
+        given = {"known": {"index": 0, "snapshot": True, "endpoints": []}} | self.balancer
+        limits = given.get("limits")
+        if self.peers is not None and isinstance(limits, dict) and isinstance(limits.get("sockets"), int):
+            allow_sockets(limits["sockets"])
+            given["limits"] = limits | {"sockets": limits["sockets"] - 3 * self.peers.links - 4}
+        return given
+
+
+def read(path: str) -> ServeTable:
+    """Raises:
+        BadConfig: names the key at fault.
+    """
+    try:
+        with open(path, "rb") as file:
+            found = msgspec.convert(tomllib.load(file), ServeTable)
+    except msgspec.ValidationError as problem:
+        key, text = fault(problem)
+        raise BadConfig(f"config: {key}: {text}") from None
+    except (OSError, ValueError, RecursionError) as problem:
+        raise BadConfig(f"config: {path}: {problem}") from None
+    peers = found.peers
+    if peers is not None:
+        for key, address in [("listen", peers.listen), ("advertise", peers.advertise or peers.listen),
+                             *(("join", at) for at in peers.join), *((f"via.{name}", at) for name, at in peers.via.items())]:
+            host, port = split(address)
+            try:
+                socket.inet_pton(socket.AF_INET, host)
+            except OSError:
+                raise BadConfig(f"config: peers.{key} holds {address!r}, an IPv4 address and a port are needed") from None
+            if port > 65535:
+                raise BadConfig(f"config: peers.{key} holds {address!r}: there is no such port")
+    return found
+
+
+class JsonPrinter(Printer):
+    """Each line a JSON object, by structlog's renderers: `at_ns` on the one clock, `event`, and what the event brings."""
+
+    def __init__(self, limits: Limits, now: Callable[[], int], counters: Counters, name: str = "") -> None:
+        super().__init__(limits, now, counters)
+        self._clock, self._name = now, name
+        self._fields: dict[str, Any] = {}
+        self._render = structlog.processors.JSONRenderer()
+
+    def tell(self, event: str, **fields: Any) -> None:
+        self._fields = fields
+        self.say(event, always=True)
+        self._fields = {}
+
+    def form(self, text: str) -> str:
+        line = self._render(None, "info", {"at_ns": self._clock(), "name": self._name, "event": text[:1900]} | self._fields)
+        return str(line)
+
+
+def main(path: str) -> int:
+    made: list[Peers] = []
+
+    def make() -> Process:
+        given = read(path)
+        name = given.peers.name if given.peers else ""
+        parts: list[Callable[[Process], Part]] = []
+        if given.peers is not None:
+            peers = given.peers
+
+            def with_peers(process: Process) -> Part:
+                assert isinstance(process.printer, JsonPrinter)
+                made.append(Peers(process, peers, process.printer.tell))
+                return made[0]
+            parts.append(with_peers)
+        return Process(given.whole(), read_anew=lambda: read(path).whole(), printer=partial(JsonPrinter, name=name), parts=parts)
+    code = carry_on(make)
+    if made and made[0].refused_why:
+        print(f"corklift: {made[0].refused_why}", file=sys.stderr)
+        return REFUSED
+    return code
+
+
+def check(path: str) -> str:
+    """Raises:
+        BadConfig: names the key at fault.
+    """
+    given = read(path)
+    whole = Configuration.of(given.whole())
+    peers = f", peers of {given.peers.name}" if given.peers else ", alone"
+    return f"{path}: {len(whole.arguments['workloads'])} workloads, {whole.limits.clients} clients{peers}"
