The rig: real processes of serve, a link with faults for each directed pair, stand-ins and clients

Need: what several processes do under faults is what counts. Stand-ins run in processes of their own and tell what truly arrived; every process logs on one clock.

--- /dev/null
+++ b/corklift/rig/fleet.py
@@ -0,0 +1,471 @@
+"""Real processes of `serve`, stand-ins in processes of their own, clients in open loop, and a link for each directed pair.
+
+Owns every process that it starts, ends them by their ids, and always ends by itself. What it hears of each, and what it does to
+them, is one list of events on one clock. Must never judge them (see `checker`), or reach beyond loopback.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from corklift.net.limits import MS, SECOND, Limits
+from corklift.net.scheduler import READ, WRITE, Scheduler, wall_clock
+from corklift.net.stream import OverLong, Stream
+from corklift.rig.links import SOUND, Fault, Link
+
+CLIENT = Limits(clients=0, waiting=0, probes=0, connect_time=SECOND, stop_time=SECOND, line=1024, ring=1024)
+WAIT = 3 * SECOND  # a client's own time limit
+MOST_BALANCERS, MOST_SERVERS, MOST_RATE, MOST_SECONDS = 40, 40, 500.0, 300.0
+COLD = {"start_share": 0.3, "ramp_ms": 8000, "multiple": 3.0, "span_ms": 1000}
+GRACE = 500 * MS
+
+
+class Shape(NamedTuple):
+    balancers: int = 5
+    servers: int = 3
+    rate: float = 20.0  # logins a second
+    hold_s: float = 6.0  # mean length of a connection
+    size: float = 200.0  # connections that fill a server
+    period_ms: int = 200  # of peers' probes
+    sockets: int = 600
+    memory_mb: int = 192
+    peers: bool = True  # off: the same processes, that do not know each other
+    join: int = 3  # addresses that a file names
+    late: tuple[str, ...] = ()  # balancers that start only when a trouble says so
+    seed: int = 1
+
+
+class Event(NamedTuple):
+    at: int  # ns
+    source: str
+    what: str
+    fields: dict[str, Any]
+
+
+class TooLate(Exception):
+    """What must happen has not, within a wide limit."""
+
+
+class Running:
+    """One process."""
+
+    def __init__(self, name: str, command: list[str], folder: str, stdin: bool = False) -> None:
+        self.name, self.command, self._stdin = name, command, stdin
+        self._errors = os.path.join(folder, f"{name}.err")
+        self.process: subprocess.Popen[bytes] | None = None
+        self.stopped = False
+
+    def start(self, log_on_error: bool) -> Any:
+        """Returns the end of the pipe by which its log comes."""
+        errors = open(self._errors, "ab")  # noqa: SIM115
+        self.process = subprocess.Popen(
+            self.command, stdin=subprocess.PIPE if self._stdin else subprocess.DEVNULL,
+            stdout=errors if log_on_error else subprocess.PIPE, stderr=subprocess.PIPE if log_on_error else errors)
+        errors.close()
+        self.stopped = False
+        return self.process.stderr if log_on_error else self.process.stdout
+
+    @property
+    def alive(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: int) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class Rig:
+    def __init__(self, shape: Shape, spoil: dict[str, str] | None = None, show: Callable[[str], None] = lambda text: None) -> None:
+        """`spoil`: by balancer's name, a deliberate fault that is put into it at its start."""
+        if not (1 <= shape.balancers <= MOST_BALANCERS and 0 <= shape.servers <= MOST_SERVERS and 0 <= shape.rate <= MOST_RATE):
+            raise ValueError(f"a rig is bounded: {MOST_BALANCERS} balancers, {MOST_SERVERS} servers, {MOST_RATE:.0f} logins a second")
+        self.shape, self._spoil, self._show = shape, spoil or {}, show
+        self.rng = Random(shape.seed)
+        self.problems: list[str] = []
+        self.scheduler = Scheduler(wall_clock(), self.problems.append)
+        self.events: list[Event] = []
+        self.balancers: dict[str, Running] = {}
+        self.servers: dict[str, Running] = {}
+        self.discovery: Running | None = None
+        self.links: dict[tuple[str, str], Link] = {}  # by who calls and who is called
+        self.held: dict[str, int] = {}  # clients that stand, by balancer
+        self.serving: set[str] = set()  # balancers whose front sends them clients
+        self._next_login = 1
+        self._failed: BaseException | None = None
+        self._playing = False
+
+    def run(self, conduct: Callable[[Rig], None]) -> Rig:
+        """Starts all, plays, ends all; raises what the conductor raises."""
+        wanted = 4 * (self.shape.balancers + 2) ** 2 + 4096
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, wanted)), hard))
+        self.scheduler.spawn(self._conduct, conduct)
+        self.scheduler.run()
+        if self._failed is not None:
+            raise self._failed
+        return self
+
+    def _conduct(self, conduct: Callable[[Rig], None]) -> None:
+        with tempfile.TemporaryDirectory(prefix="corklift-rig-") as folder:
+            self._folder = folder
+            try:
+                self._start()
+                conduct(self)
+            except BaseException as problem:
+                self._failed = problem
+            finally:
+                self._playing = False
+                for running in self._all():
+                    if running.process is not None:
+                        running.signal(signal.SIGKILL)
+                        running.process.wait()
+                self.scheduler.stop()
+
+    def _all(self) -> list[Running]:
+        return [*self.balancers.values(), *self.servers.values(), *([self.discovery] if self.discovery else [])]
+
+    # Events
+
+    def note(self, what: str, source: str = "rig", at: int | None = None, **fields: Any) -> None:
+        self.events.append(Event(self.scheduler.now() if at is None else at, source, what, fields))
+        self._show(f"{source}: {what} {fields}")
+
+    def until(self, true: Callable[[], Any], seconds: float = 30.0, what: str = "") -> Any:
+        """Waits for what must happen; the limit is wide, what is asserted is not time.
+
+        Raises:
+            TooLate: it has not come true.
+        """
+        until = self.scheduler.now() + int(seconds * SECOND)
+        while not (found := true()):
+            if self.scheduler.now() >= until:
+                raise TooLate(what or "it has not come true in time")
+            self.scheduler.sleep(10 * MS)
+        return found
+
+    def sleep(self, seconds: float) -> None:
+        self.scheduler.sleep(int(seconds * SECOND))
+
+    def told(self, source: str, what: str, **fields: Any) -> list[Event]:
+        """What one process has told of that, so far."""
+        return [event for event in self.events if event.source == source and event.what == what
+                and all(event.fields.get(name) == value for name, value in fields.items())]
+
+    def holds(self, name: str) -> dict[str, str]:
+        """By member, what the present process of this balancer said last that it holds of it."""
+        started = max((at for at, event in enumerate(self.events) if event.what == "started" and event.fields.get("who") == name), default=0)
+        return {event.fields["member"]: event.fields["standing"] for event in self.events[started:]
+                if event.source == name and event.what == "member"}
+
+    def count(self, name: str) -> int:
+        """What the guards of this balancer's present process go by."""
+        return next((int(event.fields["balancers"]) for event in reversed(self.events)
+                     if event.source == name and event.what == "count"), 0)
+
+    def _listen_to(self, name: str, pipe: Any) -> None:
+        os.set_blocking(pipe.fileno(), False)
+        held = b""
+        while True:
+            self.scheduler.wait({pipe.fileno(): READ})
+            try:
+                content = os.read(pipe.fileno(), 1 << 16)
+            except BlockingIOError:
+                continue
+            if not content:
+                break
+            *lines, held = (held + content).split(b"\n")
+            for line in lines:
+                try:
+                    told = json.loads(line)
+                    self.events.append(Event(told.pop("at_ns"), told.pop("name"), told.pop("event"), told))
+                except (ValueError, KeyError, AttributeError):
+                    self.note("line", name, text=line.decode("utf-8", "replace")[:500])
+        pipe.close()
+        self.note("ended", "rig", who=name)
+
+    # Starting
+
+    def _start(self) -> None:
+        shape = self.shape
+        names = [f"b{number}" for number in range(1, shape.balancers + 1)]
+        self._ports = {name: (self._free_port(), self._free_port()) for name in names}  # clients', peers'
+        here = [sys.executable, "-m", "corklift.rig.standin"]
+        for number in range(1, shape.servers + 1):
+            name = f"s-{number:08x}"
+            given = {"size": shape.size, "cold": COLD}
+            self.servers[name] = Running(name, [*here, "server", name, json.dumps(given)], self._folder, stdin=True)
+        self.discovery = Running("discovery", [*here, "discovery", "discovery", json.dumps({"balancers": names})], self._folder, stdin=True)
+        for running in [*self.servers.values(), self.discovery]:
+            self.scheduler.spawn(self._listen_to, running.name, running.start(log_on_error=False))
+            self.note("started", who=running.name)
+        ports = {name: self.until(lambda name=name: self.told(name, "listens"), what=f"{name} listens")[0].fields
+                 for name in [*self.servers, "discovery"]}
+        for name in names:
+            self._link(name, "discovery", ports["discovery"]["ports"][name])
+            self._link("client", name, self._ports[name][0])
+            for server in self.servers:
+                self._link(name, server, ports[server]["port"])
+            for other in names:
+                if other != name:
+                    self._link(name, other, self._ports[other][1])
+        for server in self.servers:
+            self.list_server(server)
+        for name in names:
+            path = os.path.join(self._folder, f"{name}.toml")
+            with open(path, "w", encoding="utf-8") as file:
+                file.write(self._file(name, names))
+            spoilt = self._spoil.get(name)
+            command = (["corklift.rig.spoilt", spoilt] if spoilt else ["corklift"])
+            self.balancers[name] = Running(name, [sys.executable, "-m", *command, "serve", path], self._folder)
+        for name in names:
+            if name not in shape.late:
+                self.start(name)
+        self.until(lambda: all(self.told(name, "serving") or name in shape.late or not shape.peers for name in names), 60, "all serve")
+        for name in names:
+            if name not in shape.late:
+                self.scheduler.spawn(self._front, name)
+        self.until(lambda: len(self.serving) >= len(names) - len(shape.late), 60, "all answer PING")
+        self._playing = True
+        if shape.rate:
+            self.scheduler.spawn(self._keep_coming)
+
+    def _free_port(self) -> int:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            return int(free.getsockname()[1])
+
+    def _link(self, caller: str, called: str, port: int) -> None:
+        self.links[caller, called] = Link(self.scheduler, Random(self.rng.getrandbits(63)), ("127.0.0.1", port))
+
+    def _file(self, name: str, names: list[str]) -> str:
+        shape, (port, peers) = self.shape, self._ports[name]
+        others = [other for other in names if other != name]
+        lines = ["[peers]", f'name = "{name}"', f'listen = "127.0.0.1:{peers}"', f"period_ms = {shape.period_ms}",
+                 "join = " + json.dumps([f"127.0.0.1:{self._ports[other][1]}" for other in names[:shape.join] if other != name]),
+                 "[peers.via]",
+                 *(f'"127.0.0.1:{self._ports[other][1]}" = "{self.links[name, other].address}"' for other in others)] if shape.peers else []
+        settings = {
+            "balancers": shape.balancers, "zone": 0, "localities": ["here"], "skus": ["standard"],
+            "workloads": [{"name": name, "effect": effect, "importance": 1.0, "soft-limit-ns": 800 * MS, "time-limit-ns": 3200 * MS}
+                          for name, effect in (("plain", "pure"), ("once", "side_effect"))],
+            "report": {"via": "probe", "fields": ["x0", "inflight"]},
+            "family-info": {"groups": False, "report-x0": "load asked of the server over what it can do",
+                            "message-aim-ns": [100 * MS], "tells-load": False, "tells-delay": False},
+            "permissions": {"probes": True, "cancelling": True, "max-hand-offs": 4, "connect-timeout-ns": 200 * MS,
+                            "keepalive-ns": 30 * SECOND, "retry-after": True, "max-retry-after-ns": 1500 * MS},
+            "rules": {"drain-grace-ns": GRACE, "cold-from": COLD["start_share"], "ramp-time-ns": int(COLD["ramp_ms"]) * MS,
+                      "fall-multiple": COLD["multiple"], "fall-ns": int(COLD["span_ms"]) * MS}}
+        lines += ["[balancer]", f'listen = "127.0.0.1:{port}"', f'discovery = "{self.links[name, "discovery"].address}"',
+                  f'seed = "{shape.seed * 1000 + int(name[1:]):016x}"',
+                  f"limits = {{ cores = 1.0, memory_mb = {shape.memory_mb}, sockets = {shape.sockets} }}",
+                  "settings = " + _toml(settings)]
+        return "\n".join(lines) + "\n"
+
+    def start(self, name: str) -> None:
+        running = self.balancers[name]
+        if not running.alive:
+            self.note("started", who=name)
+            self.scheduler.spawn(self._listen_to, name, running.start(log_on_error=True))
+
+    def list_server(self, server: str, since_ms: int = 0) -> None:
+        self.word("discovery", put=server, since_ms=since_ms,
+                  addresses={name: self.links[name, server].address for name in self._ports})
+
+    def word(self, name: str, **word: Any) -> None:
+        """To a stand-in."""
+        running = self.discovery if name == "discovery" else self.servers[name]
+        if running is not None and running.alive and running.process is not None and running.process.stdin is not None:
+            running.process.stdin.write(json.dumps(word).encode() + b"\n")
+            running.process.stdin.flush()
+
+    # Faults
+
+    def fault(self, kind: str, who: list[str], **more: Any) -> None:
+        self.note("fault", kind=kind, who=who, **more)
+
+    def kill(self, *names: str) -> None:
+        self.fault("kill", list(names))
+        for name in names:
+            self._running(name).signal(signal.SIGKILL)
+            self.serving.discard(name)
+
+    def end(self, *names: str) -> None:
+        """SIGTERM: on purpose."""
+        self.note("told to stop", who=list(names))
+        for name in names:
+            self._running(name).signal(signal.SIGTERM)
+            self.serving.discard(name)
+
+    def stop(self, *names: str) -> None:
+        self.fault("stop", list(names))
+        for name in names:
+            self._running(name).signal(signal.SIGSTOP)
+            self._running(name).stopped = True
+
+    def go_on(self, *names: str) -> None:
+        for name in names:
+            self._running(name).signal(signal.SIGCONT)
+            self._running(name).stopped = False
+        self.note("over", kind="stop", who=list(names))
+
+    def restart(self, *names: str) -> None:
+        for name in names:
+            self.until(lambda name=name: not self._running(name).alive, what=f"{name} has ended")
+            self.start(name)
+            self.scheduler.spawn(self._front, name)
+
+    def _running(self, name: str) -> Running:
+        return self.balancers.get(name) or self.servers.get(name) or self.discovery  # type: ignore[return-value]
+
+    def play(self, pairs: list[tuple[str, str]], fault: Fault) -> None:
+        """On these links from now on; a sound one ends what was played there."""
+        self.note("over" if fault == SOUND else "fault", kind="links", pairs=[list(pair) for pair in pairs],
+                  **{key: value for key, value in fault._asdict().items() if value != getattr(SOUND, key)})
+        for pair in pairs:
+            self.links[pair].play(fault)
+
+    def between(self, one: list[str], other: list[str], both: bool = True) -> list[tuple[str, str]]:
+        pairs = [(a, b) for a in one for b in other if a != b]
+        return [pair for pair in (pairs + [(b, a) for a, b in pairs] if both else pairs) if pair in self.links]
+
+    # Clients
+
+    def _front(self, name: str) -> None:
+        """Takes a balancer in once it answers PING, as the front does."""
+        while self.balancers[name].alive:
+            stream = self._connected(name, self.scheduler.now() + SECOND)
+            if stream is not None:
+                try:
+                    if self._answer(stream, b"PING\r\n", self.scheduler.now() + SECOND) == b"PONG\r\n":
+                        self.serving.add(name)
+                        self.note("taken in", who=name)
+                        return
+                finally:
+                    stream.close()
+            self.scheduler.sleep(50 * MS)
+
+    def _keep_coming(self) -> None:
+        due = self.scheduler.now()
+        while self._playing:
+            due += int(self.rng.expovariate(self.shape.rate) * SECOND)
+            if due > self.scheduler.now():
+                self.scheduler.sleep(due - self.scheduler.now())
+            self.scheduler.spawn(self._live, due)
+
+    def _live(self, due: int) -> None:
+        """One client: comes, and comes back where it is refused or moved, until its time is over."""
+        workload = "once" if self.rng.random() < 0.2 else "plain"
+        ends = due + int(self.rng.expovariate(1 / self.shape.hold_s) * SECOND)
+        again, pause = False, 0
+        for _ in range(6):
+            self.scheduler.sleep(pause)
+            if not self._playing or not self.serving:
+                return
+            word, pause = self._login(workload, again, ends)
+            if word == "UP" and self.scheduler.now() >= ends - 20 * MS:
+                return
+            again = word == "UP"
+            pause = max(pause, 100 * MS)
+
+    def _connected(self, balancer: str, until: int) -> Stream | None:
+        try:
+            stream = Stream.connect(("127.0.0.1", self.links["client", balancer].port), CLIENT)
+        except OSError:
+            return None
+        while not stream.broken and not self.scheduler.wait({stream.fd: WRITE}, until):
+            if self.scheduler.now() >= until:
+                break
+        else:
+            if not stream.failed():
+                return stream
+        stream.close()
+        return None
+
+    def _answer(self, stream: Stream, line: bytes, until: int) -> bytes:
+        stream.write(line)
+        while True:
+            stream.receive()
+            try:
+                answer = stream.take_line()
+            except OverLong:
+                return b""
+            if answer is not None:
+                return answer
+            if stream.ended or stream.broken or self.scheduler.now() >= until:
+                return b""
+            self.scheduler.wait({stream.fd: READ}, until)
+
+    def _login(self, workload: str, again: bool, ends: int) -> tuple[str, int]:
+        balancer = self.rng.choice(sorted(self.serving))
+        stream = self._connected(balancer, self.scheduler.now() + SECOND)
+        if stream is None:
+            return "", 0
+        number, self._next_login = self._next_login, self._next_login + 1
+        login, asked = f"{number:016x}", self.scheduler.now()
+        stood = False
+        try:
+            self.note("login", "client", login=login, balancer=balancer, workload=workload, limit_ns=WAIT)
+            line = b"OPEN %s %x c=%s,d=%d%s\r\n" % (login.encode(), self.rng.getrandbits(60), workload.encode(), WAIT // MS,
+                                                   b",again=1" if again else b"")
+            # Waits longer than its limit, to tell a late answer from none.
+            answer = self._answer(stream, line, asked + 2 * WAIT)
+            word = answer.split(b" ")[0].strip().decode("ascii", "replace")
+            self.note("answer", "client", login=login, word=word, took_ns=self.scheduler.now() - asked,
+                      how="line" if word else "ended" if stream.ended else "reset" if stream.broken else "nothing")
+            if word != "UP":
+                more = self._rest(stream, 300 * MS)
+                if more:
+                    self.note("more", "client", login=login, text=more.decode("ascii", "replace")[:80])
+                told = answer.split(b" ")[1:2]
+                return word, int(told[0]) * MS if word == "BUSY" and told and told[0].strip().isdigit() else 0
+            stood = True
+            self.held[balancer] = self.held.get(balancer, 0) + 1
+            while self._playing and not stream.ended and not stream.broken and self.scheduler.now() < ends:
+                self.scheduler.wait({stream.fd: READ}, ends)
+                stream.receive()
+                line = stream.inbox.take(len(stream.inbox))
+                if line.startswith((b"UP", b"BUSY", b"ERR")):
+                    self.note("more", "client", login=login, text=line.decode("ascii", "replace")[:80])
+            self.note("closed", "client", login=login, by="client" if self.scheduler.now() >= ends else "balancer")
+            return "UP", 0
+        finally:
+            if stood:
+                self.held[balancer] -= 1
+            stream.close()
+
+    def _rest(self, stream: Stream, span: int) -> bytes:
+        until = self.scheduler.now() + span
+        while not stream.ended and not stream.broken and self.scheduler.now() < until:
+            stream.receive()
+            if len(stream.inbox):
+                return stream.inbox.take(len(stream.inbox))
+            self.scheduler.wait({stream.fd: READ}, until)
+        return b""
+
+    def resources(self, name: str) -> tuple[int, int]:
+        """kB resident and descriptors of a balancer."""
+        process = self.balancers[name].process
+        try:
+            assert process is not None
+            with open(f"/proc/{process.pid}/statm", encoding="ascii") as file:
+                return int(file.read().split()[1]) * resource.getpagesize() // 1024, len(os.listdir(f"/proc/{process.pid}/fd"))
+        except (OSError, AssertionError):
+            return 0, 0
+
+
+def _toml(value: Any) -> str:
+    """A value on one line."""
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {_toml(held)}" for key, held in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(_toml, value)) + "]"
+    return json.dumps(value)
--- /dev/null
+++ b/corklift/rig/standin.py
@@ -0,0 +1,190 @@
+"""A stand-in in a process of its own: one transcriber, or discovery with an agent for each balancer.
+
+Owns what truly arrived: events are JSON lines on standard output, words to it are JSON lines on standard input. Ends with its
+input. Must never import or ask a balancer.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import sys
+from typing import Any
+
+from corklift.net.limits import MS, SECOND
+from corklift.net.scheduler import READ, Scheduler, wall_clock
+from corklift.net.stream import Stream
+from corklift.standins.discovery import Discovery
+from corklift.standins.transcriber import LIMITS, Placed, Transcriber
+
+_OPEN = re.compile(rb"OPEN (\S+) (\S+) (\S+)\r\n")
+FALLEN = 3 * SECOND  # that a server which was pushed over is away
+
+
+class Told:
+    """Lines out, words in."""
+
+    def __init__(self, source: str) -> None:
+        self.scheduler = Scheduler(wall_clock(), lambda trace: self.say("exception", trace=trace))
+        self._source = source
+        os.set_blocking(0, False)
+
+    def say(self, event: str, **fields: Any) -> None:
+        print(json.dumps({"at_ns": self.scheduler.now(), "name": self._source, "event": event} | fields), flush=True)
+
+    def words(self) -> Any:
+        """Each word that comes in, as it comes; ends with the input."""
+        held = b""
+        while True:
+            self.scheduler.wait({0: READ})
+            try:
+                content = os.read(0, 1 << 16)
+            except BlockingIOError:
+                continue
+            if not content:
+                self.scheduler.stop()
+                return
+            *lines, held = (held + content).split(b"\n")
+            yield from map(json.loads, lines)
+
+
+class Server(Transcriber):
+    """Told to, it turns all away, is mute, or starts anew and cold. Pushed over while it is cold, it falls.
+
+    What a cold one bears is the lab's model: it works set-ups off at the multiple of the rate at which it warms, and falls when a
+    span's worth of them is queued (docs/design/lab.md)."""
+
+    def __init__(self, told: Told, name: str, size: float, cold: dict[str, Any]) -> None:
+        super().__init__(told.scheduler, name, size, self._arrived, int(cold["ramp_ms"]) * MS)
+        self._told, self._cold = told, cold
+        self.started_at = 0
+        self._queued, self._queued_at = 0.0, 0
+        self._streams: set[Stream] = set()
+
+    def _arrived(self, placed: Placed) -> None:
+        self._told.say("placed", server=self.name, client=placed.by, what=placed.what)
+        now = self._scheduler.now()
+        age = now - self.started_at
+        if age >= self.ramp:
+            return
+        share = self._cold["start_share"] + (1 - self._cold["start_share"]) * age / self.ramp
+        bears = self._cold["multiple"] * share * self.size * SECOND / self.ramp
+        self._queued = max(0.0, self._queued - bears * (now - self._queued_at) / SECOND) + 1.0
+        self._queued_at = now
+        if self._queued > max(1.0, bears * self._cold["span_ms"] * MS / SECOND):
+            self._told.say("fell", server=self.name, queued=round(self._queued, 1), bears_s=round(bears, 2))
+            self.fails, self._queued = True, 0.0
+            self._scheduler.spawn(self._get_up)
+
+    def _get_up(self) -> None:
+        self._scheduler.sleep(FALLEN)
+        self.fails = False
+        self.started_at = self._scheduler.now()
+
+    def _lines(self, stream: Stream) -> None:
+        """As the plain one does; what is opened is told with its id, and how it ended."""
+        up, opened = False, b""
+        try:
+            while True:
+                stream.receive()
+                line = stream.take_line()
+                if line is None:
+                    if stream.ended or stream.broken:
+                        return
+                    self._scheduler.wait({stream.fd: READ})
+                elif line == b"STATS\r\n" and not up:
+                    while self.silent:
+                        self._scheduler.sleep(SECOND // 10)
+                    stream.write(b"PONG inflight=%d,x0=%.4f\r\n" % (self.open, self.open / self.size))
+                elif (found := _OPEN.fullmatch(line)) and not up:
+                    opened = found[1]
+                    while self.silent:
+                        self._scheduler.sleep(SECOND // 10)
+                    if self.fails:
+                        self._told.say("turned away", server=self.name, login=opened.decode())
+                        stream.write(b"ERR\r\n")
+                        return
+                    up = True
+                    self.open += 1
+                    self._note(Placed(self._scheduler.now(), self.name, opened.decode(), found[3].decode()))
+                    stream.write(b"UP %s\r\n" % self.name.encode())
+                elif line == b"quit\r\n":
+                    stream.write(b"BYE\r\n")
+                    return
+                else:
+                    stream.write(line)
+        finally:
+            if up:
+                self.open -= 1
+                self._told.say("ended", server=self.name, client=opened.decode())
+            stream.close()
+
+
+def server(name: str, given: dict[str, Any]) -> None:
+    told = Told(name)
+    standing = Server(told, name, given["size"], given["cold"])
+    port = standing.listen()
+    told.say("listens", port=port)
+
+    def hear() -> None:
+        for word in told.words():
+            if "fails" in word:
+                standing.fails = word["fails"]
+            if "silent" in word:
+                standing.silent = word["silent"]
+            if word.get("cold"):
+                standing.started_at = told.scheduler.now()
+    told.scheduler.spawn(standing.keep_accepting)
+    told.scheduler.spawn(hear)
+    told.scheduler.run()
+
+
+class Agent(Discovery):
+    """Discovery's agent on one balancer's machine."""
+
+    def __init__(self, told: Told, balancer: str) -> None:
+        super().__init__(told.scheduler)
+        self._told, self._balancer, self._has = told, balancer, -1
+        self.refuses = False
+
+    def _answer(self, stream: Stream, found: re.Match[bytes]) -> bool:
+        index = int(found[1]) if found[1] is not None else -1
+        if index > self._has:
+            # It asks for what is newer: what it asks from has come there.
+            self._has = index
+            self._told.say("has", balancer=self._balancer, index=index)
+        return super()._answer(stream, found)
+
+
+def discovery(given: dict[str, Any]) -> None:
+    told = Told("discovery")
+    agents = {name: Agent(told, name) for name in given["balancers"]}
+    told.say("listens", ports={name: agent.listen() for name, agent in agents.items()})
+
+    def hear() -> None:
+        for word in told.words():
+            for name, agent in agents.items():
+                if "put" in word:
+                    host, _, port = word["addresses"][name].rpartition(":")
+                    agent.put(word["put"], (host, int(port)), since_ms=word.get("since_ms", 0))
+                if "mark" in word:
+                    agent.mark(word["mark"], word["status"])
+                if "silent" in word and name in word.get("at", agents):
+                    agent.silent = word["silent"]
+            index = max(agent.index for agent in agents.values())
+            if "put" in word or "mark" in word:
+                told.say("listed", server=word.get("put") or word["mark"], status=word.get("status", "active"), index=index)
+    for agent in agents.values():
+        told.scheduler.spawn(agent.keep_answering)
+    told.scheduler.spawn(hear)
+    told.scheduler.run()
+
+
+if __name__ == "__main__":
+    kind, name, given_text = sys.argv[1:4]
+    assert LIMITS.line
+    if kind == "server":
+        server(name, json.loads(given_text))
+    else:
+        discovery(json.loads(given_text))
