--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -5,14 +5,13 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 import subprocess
 import sys
 from pathlib import Path
 from typing import Any
 
-from benchmarks.report import tell
+from benchmarks.report import arguments, tell
 from corklift.lab import explore
 from corklift.lab.experiment import Run, load, play
 from corklift.lab.faults import FAULTS
@@ -57,11 +56,7 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.lab", description=(__doc__ or "").splitlines()[0])
-    parser.add_argument("--quick", action="store_true")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", metavar="FILE")
-    given = parser.parse_args()
+    given = arguments(__doc__)
     sizes = [(10, 2, 500, 30.0), (40, 10, 2_000, 8.0), (100, 30, 6_000, 4.0)] if given.quick else [
         (10, 2, 500, 120.0), (60, 30, 8_000, 20.0), (200, 500, 100_000, 6.0)]
     figures: dict[str, Any] = {}
--- a/benchmarks/xds.py
+++ b/benchmarks/xds.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 import os
 import signal
@@ -24,7 +23,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.report import tell
+from benchmarks.report import arguments, tell
 from corklift.control import resources
 from corklift.control.resources import Place
 from corklift.control.service import CSDS
@@ -372,11 +371,7 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(prog="python -m benchmarks.xds", description=__doc__.splitlines()[0])
-    parser.add_argument("--quick", action="store_true")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", metavar="FILE")
-    given = parser.parse_args()
+    given = arguments(__doc__)
     bench = Bench(given.quick, given.seed)
     bench.run()
     figures = bench.figures
--- a/corklift/cli.py
+++ b/corklift/cli.py
@@ -195,8 +195,8 @@
 
 
 @lab.command(help="Every order of events in a small world, to a depth; then random walks.")
-@click.option("--world", type=click.Choice(["placing", "views"]), default="placing", show_default=True,
-              help="The decision module, or the control service's views with one proxy.")
+@click.option("--world", type=click.Choice(["placing", "views", "members"]), default="placing", show_default=True,
+              help="The decision module, the control service's views with one proxy, or three members.")
 @click.option("--incremental", is_flag=True, help="Of views: that variant.")
 @click.option("--depth", type=click.IntRange(1, 40), default=5, show_default=True)
 @click.option("--states", type=click.IntRange(10, 10_000_000), default=20_000, show_default=True)
@@ -208,8 +208,9 @@
 def explore(world: str, incremental: bool, depth: int, states: int, walks: int, balancers: int, servers: int, effect: str,
             out: str | None) -> None:
     from corklift.lab import explore as lab_explore
+    from corklift.lab.explore_members import Fleet
     shape = (lab_explore.Small(balancers=balancers, servers=servers, effect=effect) if world == "placing"
-             else lab_explore.Followed(incremental))
+             else Fleet() if world == "members" else lab_explore.Followed(incremental))
     make = lambda: lab_explore.world(world, shape._asdict())  # noqa: E731
     found = lab_explore.explore(make, depth, states)
     click.echo(f"{found.states} states to depth {found.depth}, {found.steps} events played"
@@ -272,3 +273,93 @@
         for name, value in figures.items():
             click.echo(f"{name:26} {value}")
     sys.exit(0 if figures["balancers_alive"] and not tool.problems else 1)
+
+
+@main.group(help="The rig: real processes of serve with faults between them, and a checker. See docs/design/rig.md.")
+def rig() -> None:
+    pass
+
+
+def _scenario(path: str) -> Any:
+    from corklift.rig.scenario import BadScenario, read
+    try:
+        return read(path)
+    except BadScenario as problem:
+        raise click.ClickException(str(problem)) from None
+
+
+def _verdict(events: Any) -> int:
+    from corklift.rig.checker import around, judge
+    found = judge(events, max(event.at for event in events))
+    if found:
+        first = found[0]
+        click.echo(f"{first.promise} broken: {first.what}\n" + "\n".join(around(events, first.at)))
+    logins = sum(event.what == "login" for event in events)
+    click.echo(f"{logins} logins, {len(found)} breaks" + ("" if found else ": all promises kept"))
+    return 1 if found else 0
+
+
+def _play_rig(given: Any, peers: bool, seed: int, spoil: dict[str, str], out: str | None, verbose: bool) -> int:
+    import msgspec
+
+    from corklift.rig.scenario import play, written
+    played = play(given, peers=peers, seed=seed, spoil=spoil, show=click.echo if verbose else lambda text: None)
+    if out:
+        with open(out, "w", encoding="utf-8") as file:
+            head = {"scenario": msgspec.to_builtins(given), "peers": peers, "seed": seed, "spoil": spoil}
+            file.write(msgspec.json.encode(head).decode() + "\n" + written(played.events))
+    return _verdict(played.events)
+
+
+@rig.command("run", help="Plays a scenario and judges it; exits 1 where a promise is broken.")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--out", type=click.Path(dir_okay=False), help="Where the events go, for replay and report.")
+@click.option("--peers/--no-peers", default=True, show_default=True, help="Off: the same balancers, that do not know each other.")
+@click.option("--seed", type=int, help="Instead of the file's.")
+@click.option("--spoil", multiple=True, metavar="BALANCER=FAULT", help="A deliberate fault of `rig list`, put into it at its start.")
+@click.option("--verbose", is_flag=True, help="What the rig sees and does, as it happens.")
+def rig_run(file: str, out: str | None, peers: bool, seed: int | None, spoil: tuple[str, ...], verbose: bool) -> None:
+    given = _scenario(file)
+    spoilt = dict(item.partition("=")[::2] for item in spoil)
+    sys.exit(_play_rig(given, peers, given.seed if seed is None else seed, spoilt, out, verbose))
+
+
+@rig.command("list", help="The scenarios of a folder, and the deliberate faults.")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False), default="examples/rig")
+def rig_list(folder: str) -> None:
+    import os
+
+    from corklift.rig.spoilt import FAULTS
+    for name in sorted(os.listdir(folder)):
+        if name.endswith(".toml"):
+            given = _scenario(os.path.join(folder, name))
+            click.echo(f"{name:24} {given.seconds:5.0f} s, {given.fleet.balancers:2} balancers  {given.name}")
+    for fault_name, made in FAULTS.items():
+        click.echo(f"{fault_name:24} {(made.__doc__ or '').strip()}")
+
+
+@rig.command("replay", help="Plays again what `run --out` wrote, and judges it.")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+def rig_replay(file: str) -> None:
+    import json
+
+    import msgspec
+
+    from corklift.rig.scenario import Scenario
+    with open(file, encoding="utf-8") as content:
+        head = json.loads(content.readline())
+    sys.exit(_play_rig(msgspec.convert(head["scenario"], Scenario), head["peers"], head["seed"], head["spoil"], None, False))
+
+
+@rig.command("report", help="The time line of what `run --out` wrote, as one HTML page.")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--out", type=click.Path(dir_okay=False), default="rig.html", show_default=True)
+def rig_report(file: str, out: str) -> None:
+    from corklift.rig.report import page
+    from corklift.rig.scenario import events_of
+    with open(file, encoding="utf-8") as content:
+        head = content.readline()
+        events = events_of(content.read())
+    with open(out, "w", encoding="utf-8") as page_file:
+        page_file.write(page(head, events))
+    click.echo(f"{out}: {len(events)} events")
--- a/corklift/lab/explore.py
+++ b/corklift/lab/explore.py
@@ -610,4 +610,7 @@
 
 def world(kind: str, shape: dict[str, Any]) -> World:
     """A small world by its name and shape, as a counterexample's file holds them."""
+    if kind == "members":
+        from corklift.lab import explore_members
+        return explore_members.Small(explore_members.Fleet(**shape))
     return Placing(Small(**shape)) if kind == "placing" else Following(Followed(**shape))
--- /dev/null
+++ b/corklift/lab/explore_members.py
@@ -0,0 +1,201 @@
+"""A small world of members for exploration: every order of arrivals, losses, ticks, a death with return, a stop, a leaving.
+
+Owns the world and what must hold in each of its states. Must never hold a decision.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from corklift.membership.core import Members, Pace
+from corklift.membership.messages import Message, Standing, Word
+
+PERIOD = 1_000_000_000
+EPOCH = 1_000 * PERIOD
+
+
+class Fleet(NamedTuple):
+    """Its shape: how often each may happen."""
+
+    members: int = 3
+    losses: int = 1
+    deaths: int = 1
+    returns: int = 1
+    stops: int = 1
+    leaves: int = 1
+    settled: bool = True  # all know all at the start
+
+
+class _Host:
+    def __init__(self, world: Small, number: int) -> None:
+        self.world, self.number = world, number
+        self.alive, self.left, self.life, self.used = False, False, 0, 0
+        self.core: Any = None
+        self.due = EPOCH
+        self.next_call = 0
+        self.calls: dict[int, tuple[int, int, int]] = {}  # whom, of which life, to answer to which ask
+
+    def start(self) -> None:
+        world = self.world
+        self.alive, self.left, self.life, self.calls = True, False, self.life + 1, {}
+        join = [f"m{at}" for at in range(world.shape.members) if at != self.number]
+        self.core = world.make(self, Random(self.number * 100 + self.life), Pace(PERIOD), world.now, name=f"m{self.number}",
+                               address=f"m{self.number}", join=join, expected=world.shape.members)
+        self.core.start()
+        self.due = world.now
+
+    # Host
+
+    def ask(self, ask: int, address: str, name: str, message: Message, until: int) -> None:
+        self.world.flying.append(("ask", self.number, self.life, int(address[1:]), ask, message))
+
+    def reply(self, call: int, message: Message) -> None:
+        to, life, ask = self.calls.pop(call)
+        self.world.flying.append(("answer", self.number, life, to, ask, message))
+
+    def changed(self, word: Word, was: Standing | None) -> None:
+        world = self.world
+        if word.standing == Standing.LEFT and (word.name, word.life) not in world.gone:
+            world.wrong = f"m{self.number} holds {word.name} for gone, which never said so"
+        held = world.ranks.get((self.number, self.life, word.name))
+        if held is not None and word.rank < held:
+            world.wrong = f"m{self.number} went back on {word.name}: {held} to {word.rank}"
+        world.ranks[self.number, self.life, word.name] = word.rank
+
+    def counted(self, number: int) -> None:
+        self.used = number
+
+    def refused(self, why: str) -> None:
+        self.world.wrong = f"m{self.number} was refused, alone under its name: {why}"
+
+    def log(self, text: str) -> None:
+        pass
+
+
+class Small:
+    """Three cores and what flies between them."""
+
+    def __init__(self, shape: Fleet, make: Callable[..., Any] = Members) -> None:
+        self.shape, self.make, self.now = shape, make, EPOCH
+        self.flying: list[tuple[str, int, int, int, int, Message]] = []
+        self.wrong: str | None = None
+        self.gone: set[tuple[str, int]] = set()
+        self.ranks: dict[tuple[int, int, str], tuple[int, int, int]] = {}
+        self.raised: dict[tuple[int, int], int] = {}
+        self.steps: list[str] = []
+        self.left = {"lose": shape.losses, "kill": shape.deaths, "return": shape.returns, "stop": shape.stops, "leave": shape.leaves}
+        self.seats = [_Host(self, number) for number in range(shape.members)]
+        for seat in self.seats:
+            seat.start()
+        if shape.settled:
+            for seat in self.seats:
+                for other in self.seats:
+                    if other is not seat:
+                        seat.core._take(self.now, other.core.me)
+                seat.core._fresh.clear()
+                seat.core.joined = seat.core._introduced = True
+
+    def enabled(self) -> list[str]:
+        labels = [f"{what} {at}" for at in range(min(3, len(self.flying)))
+                  for what in (["arrive", "lose"] if self.left["lose"] else ["arrive"])]
+        living = [seat for seat in self.seats if seat.alive]
+        soonest = min((seat.due for seat in living), default=0)
+        labels += [f"tick {seat.number}" for seat in living if seat.due <= soonest + PERIOD // 4]
+        if self.left["kill"] and len(living) > 1:
+            labels += [f"kill {seat.number}" for seat in living]
+        if self.left["return"]:
+            labels += [f"return {seat.number}" for seat in self.seats if not seat.alive]
+        if self.left["stop"]:
+            labels += [f"stop {seat.number}" for seat in living]
+        if self.left["leave"] and len(living) > 1:
+            labels += [f"leave {seat.number}" for seat in living if not seat.left]
+        return labels
+
+    def play(self, label: str) -> None:
+        self.steps.append(f"{(self.now - EPOCH) / PERIOD:8.3f}  {label}" + self._said(label))
+        kind, _, at = label.partition(" ")
+        number = int(at)
+        if kind in ("arrive", "lose"):
+            what, by, life, to, ask, message = self.flying.pop(number)
+            if kind == "lose":
+                self.left["lose"] -= 1
+                if what == "ask" and self.seats[by].life == life and self.seats[by].alive:
+                    self.seats[by].core.unanswered(self.now, ask)
+            elif what == "ask":
+                self._call(by, life, to, ask, message)
+            elif self.seats[to].alive and self.seats[to].life == life:
+                self.seats[to].core.answered(self.now, ask, message)
+        elif kind == "tick":
+            self._tick(self.seats[number], 0)
+        elif kind == "stop":
+            self.left["stop"] -= 1
+            self._tick(self.seats[number], 30 * PERIOD)
+        elif kind == "kill":
+            self.left["kill"] -= 1
+            self.seats[number].alive = False
+        elif kind == "return":
+            self.left["return"] -= 1
+            self.seats[number].start()
+        elif kind == "leave":
+            self.left["leave"] -= 1
+            seat = self.seats[number]
+            seat.left = True
+            self.gone.add((f"m{number}", seat.core.me.life))
+            seat.core.leave(self.now)
+        self._check()
+
+    def _said(self, label: str) -> str:
+        kind, _, at = label.partition(" ")
+        if kind not in ("arrive", "lose"):
+            return ""
+        what, by, _, to, _, message = self.flying[int(at)]
+        return f": {what} of m{by} to m{to}, {message.kind}"
+
+    def _call(self, by: int, life: int, to: int, ask: int, message: Message) -> None:
+        seat = self.seats[to]
+        if not seat.alive:
+            if self.seats[by].alive and self.seats[by].life == life:
+                self.seats[by].core.unanswered(self.now, ask)
+            return
+        call, seat.next_call = seat.next_call, seat.next_call + 1
+        seat.calls[call] = by, life, ask
+        seat.core.called(self.now, call, message)
+
+    def _tick(self, seat: _Host, late: int) -> None:
+        self.now = max(self.now, seat.due) + late
+        if late:
+            # It alone was stopped: the others have ticked on meanwhile.
+            for other in self.seats:
+                while other.alive and other is not seat and other.due < self.now:
+                    other.due = max(other.core.tick(other.due), other.due + 1)
+        seat.due = seat.core.tick(self.now)
+
+    def _check(self) -> None:
+        placing = sum(seat.alive and not seat.left for seat in self.seats)
+        for seat in self.seats:
+            if not seat.alive:
+                continue
+            key = seat.number, seat.life
+            if seat.core.me.incarnation < self.raised.get(key, 0):
+                self.wrong = f"m{seat.number} lowered its incarnation"
+            self.raised[key] = seat.core.me.incarnation
+            # One that comes back after it left opens its door once the others were told of it.
+            coming = sum(other.alive and not other.left and not other.core.admitted for other in self.seats)
+            if not seat.left and not seat.core.refused and seat.core.admitted and seat.used < placing - coming:
+                self.wrong = f"m{seat.number} counts {seat.used} where {placing - coming} place"
+
+    def broken(self) -> str | None:
+        return self.wrong
+
+    def state(self) -> object:
+        return ([(seat.alive, seat.left, seat.life, seat.due - self.now, seat.used, seat.core.me, sorted(seat.core.table.items()),
+                  sorted((name, held.due - self.now, sorted(held.by)) for name, held in seat.core._suspicions.items()),
+                  seat.core._slow, seat.core._probe and (seat.core._probe.word.name, seat.core._probe.ends - self.now,
+                                                         seat.core._probe.acked, seat.core._probe.relays, seat.core._probe.nacks),
+                  sorted(seat.core._fresh.items()), seat.core._round, sorted(seat.core._asks)) for seat in self.seats],
+                [(what, by, life, to, ask) for what, by, life, to, ask, _ in self.flying], self.left)
+
+    def trace(self) -> list[str]:
+        return self.steps
--- a/corklift/rig/fleet.py
+++ b/corklift/rig/fleet.py
@@ -42,6 +42,7 @@
     peers: bool = True  # off: the same processes, that do not know each other
     join: int = 3  # addresses that a file names
     late: tuple[str, ...] = ()  # balancers that start only when a trouble says so
+    told: int = 0  # balancers by the settings; 0: the true number
     seed: int = 1
 
 
@@ -254,7 +255,7 @@
                  "[peers.via]",
                  *(f'"127.0.0.1:{self._ports[other][1]}" = "{self.links[name, other].address}"' for other in others)] if shape.peers else []
         settings = {
-            "balancers": shape.balancers, "zone": 0, "localities": ["here"], "skus": ["standard"],
+            "balancers": shape.told or shape.balancers, "zone": 0, "localities": ["here"], "skus": ["standard"],
             "workloads": [{"name": name, "effect": effect, "importance": 1.0, "soft-limit-ns": 800 * MS, "time-limit-ns": 3200 * MS}
                           for name, effect in (("plain", "pure"), ("once", "side_effect"))],
             "report": {"via": "probe", "fields": ["x0", "inflight"]},
--- a/corklift/rig/links.py
+++ b/corklift/rig/links.py
@@ -58,6 +58,7 @@
     def __init__(self, scheduler: Scheduler, rng: Random, target: tuple[str, int]) -> None:
         self._scheduler, self._rng, self.target = scheduler, rng, target
         self.fault = SOUND
+        self.passed = 0  # bytes, both ways
         self._listener = door(("127.0.0.1", 0))
         self.port: int = self._listener.getsockname()[1]
         self._connections: dict[Task, tuple[Stream, Stream]] = {}
@@ -166,6 +167,7 @@
             part, rest = piece[:room], piece[room:]
             way.sink.write(part)
             way.passed += len(part)
+            self.passed += len(part)
             way.waiting -= len(part)
             way.pieces.popleft()
             if rest:
--- /dev/null
+++ b/corklift/rig/spoilt.py
@@ -0,0 +1,152 @@
+"""A balancer with a deliberate fault put into it at its start: `python -m corklift.rig.spoilt NAME serve FILE`.
+
+Owns the faults by which the checker is proven, each a change of one thing in this process alone. Must never be imported by the
+product, or by what judges.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+from corklift.interface import Status
+from corklift.membership import core, count
+from corklift.membership.messages import Standing
+from corklift.membership.peers import Peers
+from corklift.net import relay
+from corklift.net.facade import Facade
+from corklift.net.relay import Relay
+from corklift.policy import ColdBudget, HandOffs
+
+
+def falls_with_silence() -> None:
+    """The count follows who is heard."""
+    count.Count.number = property(lambda self: 1 + len(self._living))  # type: ignore[assignment]
+
+
+def counts_itself_alone() -> None:
+    """The count is never taken over."""
+    Peers.counted = lambda self, number: self._tell("count", balancers=1)  # type: ignore[method-assign]
+
+
+def never_denies() -> None:
+    """It hears that it is suspected and says nothing."""
+    core.Members._about_me = lambda self, now, word: None  # type: ignore[method-assign]
+
+
+def calls_dead_at_once() -> None:
+    """No suspicion: one call without an answer is a death."""
+    def suspect(self: Any, now: int, word: Any) -> None:
+        self._gone(now, word.name, word.life)
+    core.Members._suspect = suspect  # type: ignore[method-assign]
+    core.Members._ask_relays = lambda self, now, probe: None  # type: ignore[method-assign]
+
+
+def calls_the_living_dead() -> None:
+    """Whoever is probed is called dead now and then."""
+    plain = core.Members._keep_probing
+
+    def probing(self: Any, now: int) -> None:
+        plain(self, now)
+        if self.me.name and self._next_ask % 60 == 59 and self.living:
+            self._gone(now, self.living[0].name, self.living[0].life)
+    core.Members._keep_probing = probing  # type: ignore[method-assign]
+
+
+def says_others_left() -> None:
+    """A death is told as a leaving on purpose."""
+    def gone(self: Any, now: int, name: str, life: int) -> None:
+        held = self.table.get(name)
+        if held is not None and held.life == life and held.standing <= Standing.SUSPECT:
+            self._take(now, core._with(held, standing=Standing.LEFT))
+    core.Members._gone = gone  # type: ignore[method-assign]
+    core.Members._suspect = lambda self, now, word: gone(self, now, word.name, word.life)  # type: ignore[method-assign]
+
+
+def never_probes() -> None:
+    """It waits to be told who has died."""
+    core.Members._keep_probing = lambda self, now: setattr(self, "_next_probe", now + self._pace.period)  # type: ignore[method-assign]
+    core.Members._take = _deaf(core.Members._take)  # type: ignore[method-assign]
+
+
+def _deaf(plain: Any) -> Any:
+    def take(self: Any, now: int, word: Any) -> None:
+        if word.standing not in (Standing.DEAD, Standing.LEFT):
+            plain(self, now, word)
+    return take
+
+
+def loses_logins() -> None:
+    """Each twentieth client's connection is ended without an answer."""
+    plain, seen = Relay._place, [0]
+
+    def place(self: Any, client: Any, first: Any) -> None:
+        seen[0] += 1
+        if seen[0] % 20 == 0:
+            client.close()
+        else:
+            plain(self, client, first)
+    Relay._place = place  # type: ignore[method-assign]
+
+
+def answers_late() -> None:
+    """Each twentieth login waits past its time limit."""
+    arrived, seen = Facade.pick, [0]
+
+    def pick(self: Any, opening: Any, until: int) -> Any:
+        seen[0] += 1
+        if seen[0] % 20 == 0:
+            self._scheduler.sleep(4_200_000_000)
+        return arrived(self, opening, until)
+    Facade.pick = pick  # type: ignore[method-assign]
+
+
+def sends_twice() -> None:
+    """A once-only login is tried again whatever became of it, and each answer of a server is taken for a failure once."""
+    HandOffs._may_have_run = lambda self, held: []  # type: ignore[method-assign]
+    plain, seen = relay.server_line, [0]
+
+    def read(line: bytes) -> Any:
+        word, rest = plain(line)
+        if word == "UP":
+            seen[0] += 1
+            if seen[0] % 5 == 0:
+                return "ERR", b""  # as if the server had answered so, after it ran
+        return word, rest
+    relay.server_line = read
+
+
+def ignores_drains() -> None:
+    """What the list says of leaving is not heard."""
+    plain = Facade.listed
+
+    def listed(self: Any, scope: Any, content: Any) -> None:
+        entries = [entry._replace(status=Status.READY) if entry.status is Status.DRAINING else entry for entry in content.entries]
+        plain(self, scope, content._replace(entries=tuple(entries)))
+    Facade.listed = listed  # type: ignore[method-assign]
+
+
+def no_cold_guard() -> None:
+    """A cold server is drawn like any other."""
+    ColdBudget.chance = lambda self, now, server, held: 1.0  # type: ignore[method-assign]
+    ColdBudget.allows = lambda self, now, server, held, rng: True  # type: ignore[method-assign]
+
+
+def speaks_twice() -> None:
+    """A refusal is followed by a second line."""
+    plain = Relay._finish
+
+    def finish(self: Any, client: Any, line: bytes = b"") -> None:
+        plain(self, client, line + b"BUSY\r\n" if line else line)
+    Relay._finish = finish  # type: ignore[method-assign]
+
+
+FAULTS = {name: made for name, made in list(globals().items())
+          if callable(made) and getattr(made, "__module__", "") == __name__ and not name.startswith("_")}
+
+
+if __name__ == "__main__":
+    FAULTS[sys.argv[1]]()
+    sys.argv = ["corklift", *sys.argv[2:]]
+    from corklift.__main__ import main
+    sys.exit(main())
--- /dev/null
+++ b/tests/processes/test_peers.py
@@ -0,0 +1,277 @@
+"""Real processes of serve behind links with faults: who holds whom for what, what the guards count, what clients get.
+
+Each test waits for what must happen, with wide limits, and asserts order and count.
+"""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from corklift.membership.messages import PING, UNKNOWN, Message, Word, decode, encode
+from corklift.membership.peers import CALL, question
+from corklift.net.limits import MS
+from corklift.rig.checker import judge
+from corklift.rig.fleet import Rig, Shape
+from corklift.rig.links import SOUND, Fault
+from corklift.rpc.core import RpcError
+
+FIVE = Shape(rate=15.0)
+
+
+def played(conduct, shape=FIVE, spoil=None):
+    """What the rig saw, and every break of a promise in it."""
+    rig = Rig(shape, spoil)
+
+    def whole(rig):
+        conduct(rig)
+        rig.note("finish")
+    rig.run(whole)
+    assert rig.problems == []
+    return rig, judge(rig.events, max(event.at for event in rig.events))
+
+
+def others(rig, *names):
+    return [name for name in rig.balancers if name not in names]
+
+
+def held(rig, by, of, standing):
+    rig.until(lambda: all(rig.holds(a).get(b) == standing for a in by for b in of if a != b), what=f"{by} hold {of} for {standing}")
+
+
+def test_killed_returned_and_left_on_purpose():
+    def conduct(rig):
+        rig.until(lambda: {rig.count(name) for name in rig.balancers} == {5})
+        rig.kill("b2")
+        held(rig, others(rig, "b2"), ["b2"], "dead")
+        assert {rig.count(name) for name in others(rig, "b2")} == {5}  # silence is no evidence
+        rig.restart("b2")
+        held(rig, others(rig, "b2"), ["b2"], "alive")
+        held(rig, ["b2"], others(rig, "b2"), "alive")
+        rig.end("b3")
+        held(rig, others(rig, "b3"), ["b3"], "left")
+        rig.until(lambda: {rig.count(name) for name in others(rig, "b3")} == {4})
+        rig.until(lambda: not rig.balancers["b3"].alive)
+        assert rig.balancers["b3"].process.returncode == 0
+        rig.restart("b3")
+        rig.until(lambda: {rig.count(name) for name in rig.balancers} == {5})
+    rig, breaks = played(conduct)
+    assert breaks == []
+    assert not rig.told("b1", "member", member="b3", standing="dead") and len(rig.told("client", "answer", word="UP")) > 20
+
+
+def test_stalled_one_way_cut_slow_and_lossy_links_kill_nobody():
+    def conduct(rig):
+        rig.play([("b1", "b2"), ("b3", "b4")], Fault(there=False))
+        rig.play([("b2", "b3")], Fault(back=False))
+        rig.play([("b4", "b5")], Fault(rate=20))
+        rig.play([("b5", "b1")], Fault(cut_at=700))
+        rig.play([("b1", "b3")], Fault(most=300))
+        rig.play([("b5", "b2")], Fault(cut=True))
+        rig.play([("b4", "b2")], Fault(loses=0.5, delay=20 * MS, spread=20 * MS))
+        rig.sleep(7)  # 35 periods, longer than any suspicion that is shared
+        for name in rig.balancers:
+            assert "dead" not in rig.holds(name).values(), (name, rig.holds(name))
+        rig.play(list(rig.links), SOUND)
+        for name in rig.balancers:
+            held(rig, [name], others(rig, name), "alive")
+    rig, breaks = played(conduct)
+    assert breaks == []
+
+
+@pytest.mark.parametrize("quiet", [True, False])
+def test_both_sides_of_a_partition_count_the_other(quiet):
+    def conduct(rig):
+        pairs = rig.between(["b1", "b2"], ["b3", "b4", "b5"])
+        rig.play(pairs, Fault(there=False, back=False) if quiet else Fault(cut=True))
+        held(rig, ["b1", "b2"], ["b3", "b4", "b5"], "dead")
+        held(rig, ["b3", "b4", "b5"], ["b1", "b2"], "dead")
+        assert {rig.count(name) for name in rig.balancers} == {5}
+        rig.play(pairs, SOUND)
+        for name in rig.balancers:
+            held(rig, [name], others(rig, name), "alive")
+    rig, breaks = played(conduct)
+    assert breaks == []
+    assert min(event.fields["balancers"] for event in rig.events if event.what == "count" and event.source in rig.balancers) == 5
+
+
+def test_a_partition_that_is_not_transitive():
+    def conduct(rig):
+        names = sorted(rig.balancers)
+        pairs = [(a, b) for at, a in enumerate(names) for b in names[:max(0, at - 1)] + names[at + 2:]]
+        rig.play(pairs, Fault(there=False, back=False))
+        rig.sleep(5)
+        rig.play(pairs, SOUND)
+        for name in rig.balancers:
+            held(rig, [name], others(rig, name), "alive")
+    rig, breaks = played(conduct)
+    assert breaks == []
+
+
+def test_half_the_fleet_stopped_and_going_on_with_clients_in_hand():
+    half = ["b1", "b3", "b5"]
+
+    def conduct(rig):
+        rig.until(lambda: sum(rig.held.get(name, 0) for name in half) >= 3)
+        rig.stop(*half)
+        held(rig, others(rig, *half), half, "dead")
+        rig.go_on(*half)
+        for name in rig.balancers:
+            held(rig, [name], others(rig, name), "alive")
+        rig.until(lambda: any("stopped for" in event.fields["what"] for name in half for event in rig.told(name, "peers")))
+        for name in half:  # the stopped call nobody dead for what they did not hear meanwhile
+            assert not [event for event in rig.told(name, "member", standing="dead") if event.fields["member"] in half], name
+    rig, breaks = played(conduct, Shape(balancers=6, rate=20.0))
+    assert breaks == []
+
+
+def test_the_later_of_two_with_one_name_is_refused_and_says_so():
+    def conduct(rig):
+        with open(os.path.join(rig._folder, "b1.toml"), encoding="utf-8") as file:
+            text = file.read()
+        for port in (*rig._ports["b1"],):
+            text = text.replace(f'listen = "127.0.0.1:{port}"', f'listen = "127.0.0.1:{rig._free_port()}"', 1)
+        path = os.path.join(rig._folder, "double.toml")
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text.replace("join = [", f'join = ["127.0.0.1:{rig._ports["b4"][1]}", '))
+        double = subprocess.Popen([sys.executable, "-m", "corklift", "serve", path], stderr=subprocess.PIPE)
+        try:
+            rig.until(lambda: double.poll() is not None, what="the double ends")
+            assert double.returncode == 3 and b"the name b1 is in use by an earlier process" in double.stderr.read()
+        finally:
+            double.kill()
+            double.wait()
+        rig.sleep(1)
+        for name in others(rig, "b1"):
+            assert rig.holds(name)["b1"] == "alive"
+        assert {rig.count(name) for name in rig.balancers} == {5}
+    rig, breaks = played(conduct)
+    assert breaks == []
+
+
+def test_ten_that_start_with_one_known_address_that_is_dead():
+    def conduct(rig):
+        assert {rig.count(name) for name in others(rig, "b1")} == {10}  # by the file, nobody being known
+        rig.start("b1")
+        for name in rig.balancers:
+            held(rig, [name], others(rig, name), "alive")
+        assert {rig.count(name) for name in rig.balancers} == {10}
+    rig, breaks = played(conduct, Shape(balancers=10, join=1, late=("b1",), rate=5.0))
+    assert breaks == []
+
+
+def test_peers_that_answer_garbage_an_endless_answer_or_nothing_whole():
+    def conduct(rig):
+        def serve(listener, piece, pause):
+            while True:
+                rig.scheduler.wait({listener.fileno(): 1})
+                sock, _ = listener.accept()
+                sock.setblocking(False)
+
+                def speak(sock=sock):
+                    for _ in range(2000):
+                        try:
+                            sock.send(piece)
+                        except BlockingIOError:
+                            pass
+                        except OSError:
+                            break
+                        rig.scheduler.sleep(pause)
+                    sock.close()
+                rig.scheduler.spawn(speak)
+        plain = {}
+        for other, (piece, pause) in {"b2": (b"HTTP/1.0 200 OK\r\n\r\nno\r\n", MS), "b3": (b"\0\0\x04\x04\0\0\0\0\0" + b"x" * 9000, MS),
+                                      "b4": (b"\0", 50 * MS)}.items():
+            listener = socket.create_server(("127.0.0.1", 0))
+            listener.setblocking(False)
+            rig.scheduler.spawn(serve, listener, piece, pause)
+            plain[other] = rig.links["b1", other].target
+            rig.links["b1", other].target = listener.getsockname()
+            rig.links["b1", other].play(Fault(cut=True))
+            rig.links["b1", other].play(SOUND)
+        rig.fault("garbage", ["b1's links"])
+        before = rig.resources("b1")
+        rig.sleep(6)
+        after = rig.resources("b1")
+        assert after[0] < before[0] + 8_000 and after[1] < before[1] + 40, (before, after)
+        assert all("dead" not in rig.holds(name).values() for name in rig.balancers)  # others reach them for it
+        for other, target in plain.items():
+            rig.links["b1", other].target = target
+        for name in rig.balancers:
+            held(rig, [name], others(rig, name), "alive")
+    rig, breaks = played(conduct)
+    assert breaks == []
+
+
+def test_a_newer_peer_and_one_that_speaks_nonsense():
+    def conduct(rig):
+        address = ("127.0.0.1", rig._ports["b1"][1])
+        newer = Message("dance", Word("b9", "127.0.0.1:1", 5, 0, 1, 0, "", "9.0"))
+        answer = decode(question(address, CALL, encode(newer)))
+        assert answer.kind == UNKNOWN and answer.sender.name == "b1"
+        for content in (b"", b"\xff" * 50, encode(Message(PING, Word("", "", 0, 0, 0, 0)))):
+            with pytest.raises(RpcError, match="INVALID_ARGUMENT"):
+                question(address, CALL, content)
+    played(conduct, Shape(balancers=2, rate=0))
+
+
+def test_clients_that_take_all_descriptors_do_not_cut_a_balancer_off_its_peers():
+    def conduct(rig):
+        address = ("127.0.0.1", rig._ports["b1"][0])
+        crowd = []
+        for _ in range(300):
+            try:
+                crowd.append(socket.create_connection(address, 1))
+            except OSError:
+                break
+        rig.until(lambda: rig.resources("b1")[1] > 60)
+        rig.sleep(6)  # 30 periods
+        assert len(crowd) > 120 and all("dead" not in rig.holds(name).values() for name in rig.balancers)
+        for sock in crowd:
+            sock.close()
+    rig, breaks = played(conduct, Shape(balancers=5, rate=0, sockets=170))
+    assert breaks == []
+
+
+def test_killed_in_the_moment_of_its_denial():
+    def conduct(rig):
+        for _ in range(3):
+            rig.stop("b2")
+            rig.until(lambda: any(rig.holds(name).get("b2") == "suspect" for name in others(rig, "b2")))
+            denials = len(rig.told("b2", "peers"))
+            rig.go_on("b2")
+            rig.until(lambda: any("denied" in event.fields["what"] for event in rig.told("b2", "peers")[denials:]))
+            rig.kill("b2")
+            held(rig, others(rig, "b2"), ["b2"], "dead")
+            rig.restart("b2")
+            held(rig, others(rig, "b2"), ["b2"], "alive")
+            rig.until(lambda: "b2" in rig.serving)
+    rig, breaks = played(conduct)
+    assert breaks == []
+
+
+@pytest.mark.parametrize("fault, promise", [("falls_with_silence", "count"), ("loses_logins", "rule 1"), ("sends_twice", "rule 2"),
+                                            ("says_others_left", "membership")])
+def test_the_checker_finds_a_fault_put_into_one_process(fault, promise):
+    def conduct(rig):
+        if fault in ("falls_with_silence", "says_others_left"):
+            pairs = rig.between(["b1", "b2"], ["b3", "b4", "b5"])
+            rig.play(pairs, Fault(there=False, back=False))
+            held(rig, ["b3"], ["b1"], "left" if fault == "says_others_left" else "dead")
+            rig.sleep(1)
+        else:
+            rig.until(lambda: len(rig.told("client", "answer")) > 150)
+    _, breaks = played(conduct, Shape(rate=40.0), {"b3": fault})
+    assert promise in {found.promise for found in breaks}
+
+
+def test_a_signal_to_read_anew_keeps_the_count():
+    def conduct(rig):
+        rig.until(lambda: rig.count("b1") == 3)
+        rig.balancers["b1"].signal(signal.SIGHUP)
+        rig.until(lambda: any("configuration read anew" in event.what for event in rig.events if event.source == "b1"))
+        assert rig.count("b1") == 3
+    played(conduct, Shape(balancers=3, rate=0, told=1))
