--- a/corklift/lab/peer_days.py
+++ b/corklift/lab/peer_days.py
@@ -90,6 +90,8 @@
             if seat.uses < len(living):
                 self._broken(f"{seat.name} counts {seat.uses} where {len(living)} place")
             digests.add(core._digest)
+            if not core.admitted:
+                self._broken(f"{seat.name} still waits to open its door")
         if len(digests) > 1:
             self._broken(f"{len(digests)} different tables")
         # Two processes of one name on two sides of a cut, or where one is stopped, count as one until they meet.
--- a/corklift/membership/core.py
+++ b/corklift/membership/core.py
@@ -303,7 +303,10 @@
         self._take(now, sender)
         for word in message.words[:MOST_WORDS]:
             self._take(now, word)
-        if message.digest != self._digest and not self._leaving and now >= self._page_at and sender.standing == ALIVE:
+        if message.digest == self._digest and sender.standing == ALIVE:
+            # Guards against a start that waits for a page which nobody sends, as news has made both alike.
+            self._paged_through = True
+        elif not self._leaving and now >= self._page_at and sender.standing == ALIVE:
             # A page a period, from where the last one ended: what differs comes round without a burst.
             span = self._pace.page_every * self._pace.period * self._rng.uniform(0.75, 1.25)
             self._page_at = now + int(span if self._introduced else span / 8)
