--- a/corklift/serve.py
+++ b/corklift/serve.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import sys
 import tomllib
@@ -112,6 +113,8 @@
 
     def make() -> Process:
         given = read(path)
+        if given.peers is not None and os.environ.get("BALANCER_LISTEN_FD"):
+            raise BadConfig("environment: BALANCER_LISTEN_FD is set: with peers no socket is taken over, as both would have one name")
         name = given.peers.name if given.peers else ""
         parts: list[Callable[[Process], Part]] = []
         if given.peers is not None:
--- a/tests/test_overlap.py
+++ b/tests/test_overlap.py
@@ -329,3 +329,21 @@
     threading.Thread(target=accept, args=(fd, serve, f"s{number}"), daemon=True).start()
 accept(agent, discover, "")
 """
+
+
+def test_clients_are_taken_from_an_inherited_socket_where_there_is_no_folder_to_meet_in(tmp_path):
+    config = json.loads((Path(__file__).parents[1] / "examples/config.json").read_text())
+    config.pop("admin_addr")
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config | {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}))
+    with socket.create_server(("127.0.0.1", 0)) as door:
+        environment = {key: value for key, value in os.environ.items() if key != "TMPDIR"}
+        process = subprocess.Popen([sys.executable, "-m", "corklift"], pass_fds=[door.fileno()], stderr=subprocess.DEVNULL,
+                                   env=environment | {"BALANCER_CONFIG": str(path), "BALANCER_LISTEN_FD": str(door.fileno())})
+        try:
+            with socket.create_connection(door.getsockname(), 20) as client:
+                client.sendall(b"OPEN x y z\r\n")
+                assert client.recv(100)  # an answer, whichever
+        finally:
+            process.kill()
+            process.wait()
