--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -4,7 +4,8 @@
 
 `detect`: from a kill to every survivor's knowledge, over the probe period too. `false_dead`: members called dead that lived, with one in
 ten messages lost, links stalled one way and stops of half the suspicion. `bytes_s_member`: sent by each, nothing happening.
-`count_too_low_s`: in which a count in use was under the number that placed. `violations`: histories that broke a promise.
+`count_too_low_s`: in which a count in use was under the number that placed. `violations`: histories that broke a promise. `fallen_servers`: in the lab, on a day on which a third of the balancers is killed, a zone of
+servers comes back cold and a third of the balancers can't reach the others, by what the guards of cold servers count.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from hdrh.histogram import HdrHistogram
 
 from benchmarks.report import arguments, tell
+from corklift.lab.counted import Way, fallen
 from corklift.lab.peer_days import Day, Found
 from corklift.lab.peers import Net, Shape
 from corklift.membership.core import Pace
@@ -117,6 +119,12 @@
     return found | {"p99": detect.get_value_at_percentile(99), "worst": detect.get_max_value(), "number": detect.get_total_count()}
 
 
+def guards(given: tuple[str, int, int, int]) -> tuple[str, int, float]:
+    name, seed, told, balancers = given
+    way: Way = "heard" if name == "heard" else "followed" if name.startswith("followed") else "settings"
+    return (name, *fallen(seed, way, told, balancers))
+
+
 def percentile(values: list[float], part: float) -> float:
     return sorted(values)[min(len(values) - 1, int(len(values) * part))]
 
@@ -135,6 +143,15 @@
         sizes = (10, 100, emulated)
         sent = dict(zip(sizes, pool.map(idle_bytes, sizes, 1)))
         found, parts = list(days), list(parted)
+        size = 30 if quick else 60
+        plays = [(name, given.seed + at, told, size) for at in range(1 if quick else 4)
+                 for name, told in (("settings", size), ("settings of a third", size // 3), ("followed", size),
+                                    ("followed, settings of a third", size // 3), ("heard", size))]
+        fell: dict[str, int] = {}
+        service: dict[str, list[float]] = {}
+        for name, number, share in pool.imap_unordered(guards, plays, 1):
+            fell[name] = fell.get(name, 0) + number
+            service.setdefault(name, []).append(share)
     played = real(processes, period_ms, given.seed, 2 if quick else 5)
     half = len(periods) // 2
     small, large = sum(periods[:half], []), sum(periods[half:], [])
@@ -149,9 +166,11 @@
         "bytes_s_member_processes": round(played["bytes"] * period_ms / 1000),
         "bytes_ratio": round(sent[emulated] / sent[100], 3), "converged_ms_after_partition": played["converged"],
         "count_too_low_s": round(too_low, 3), "least_count_parted": played["least_count"], "histories": histories, "partitions": cuts,
-        "violations": len(bad)}
+        "violations": len(bad), "fallen_servers": dict(sorted(fell.items())),
+        "service": {name: round(sum(shares) / len(shares), 4) for name, shares in sorted(service.items())}}
     return tell("Membership", figures, [
         *((f"seed {day.seed}: {day.problems[0]}", False) for day in bad[:5]),
+        ("the followed count lets servers be pushed over", not fell["followed"] and not fell["followed, settings of a third"]),
         ("one that lives is called dead", not sum(wrong)), ("a count in use was too low", not too_low),
         ("a count fell through a partition", played["least_count"] >= processes),
         ("bytes grow with the fleet", figures["bytes_ratio"] < 1.3)], given.json)
--- a/corklift/lab/peers.py
+++ b/corklift/lab/peers.py
@@ -28,6 +28,7 @@
     servers: int = 3
     settled: bool = False  # all know all from the start
     joins: int = 3  # addresses that a file names
+    told: int = 0  # balancers that it tells of; 0: the true number
     bytes: bool = False  # encode each message, for its size
 
 
@@ -57,7 +58,7 @@
         self.refusals = []
         others = [net.seats[at].address for at in range(min(net.shape.joins, len(net.seats)))]
         self.core = net.make(self, net.rng, Pace(net.shape.period), net.now, name=self.name, address=self.address, join=others,
-                             expected=net.shape.members)
+                             expected=net.shape.told or net.shape.members)
         net.by_address[self.address] = self
         self.core.start()
         self.hold(self.held)
