--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -170,7 +170,9 @@
         "service": {name: round(sum(shares) / len(shares), 4) for name, shares in sorted(service.items())}}
     return tell("Membership", figures, [
         *((f"seed {day.seed}: {day.problems[0]}", False) for day in bad[:5]),
-        ("the followed count lets servers be pushed over", not fell["followed"] and not fell["followed, settings of a third"]),
+        # The true count lets one fall in some seeds too: that is the module's, see docs/design/lab.md.
+        ("the followed count lets more servers be pushed over than the true one", max(
+            fell["followed"], fell["followed, settings of a third"]) <= max(fell["settings"], fell["settings of a third"])),
         ("one that lives is called dead", not sum(wrong)), ("a count in use was too low", not too_low),
         ("a count fell through a partition", played["least_count"] >= processes),
         ("bytes grow with the fleet", figures["bytes_ratio"] < 1.3)], given.json)
