--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -65,7 +65,7 @@
     path = os.path.join(folder, f"{name}.json")
     with open(path, "wb") as file:
         file.write(msgspec.json.encode(given))
-    everywhere = name in ("no_cold_guard", "never_probes")
+    everywhere = name in ("no_cold_guard", "never_probes", "sends_twice")
     spoil = [word for at in (range(1, 6) if everywhere else (3,)) for word in ("--spoil", f"b{at}={name}")]
     return (name, *command(path, "--seed", str(seed), *spoil))
 
--- a/tests/processes/test_peers.py
+++ b/tests/processes/test_peers.py
@@ -219,7 +219,7 @@
 
 def test_clients_that_take_all_descriptors_do_not_cut_a_balancer_off_its_peers():
     def conduct(rig):
-        rig.until(lambda: sum(event.fields["word"] == "BUSY" for event in rig.events if event.what == "answer") > 100)
+        rig.until(lambda: sum(event.fields["word"] == "BUSY" for event in rig.events if event.what == "answer") > 100, 120)
         assert all(rig.resources(name)[1] > 80 for name in rig.balancers)
         rig.sleep(5)  # 25 periods
         assert all("dead" not in rig.holds(name).values() for name in rig.balancers)
@@ -254,8 +254,9 @@
             held(rig, ["b3"], ["b1"], "left" if fault == "says_others_left" else "dead")
             rig.sleep(1)
         else:
-            rig.until(lambda: len(rig.told("client", "answer")) > 150)
-    _, breaks = played(conduct, Shape(rate=40.0), {"b3": fault})
+            rig.until(lambda: len(rig.told("client", "answer")) > 300, 120)
+    everywhere = fault == "sends_twice"  # few logins are once-only, and few of them meet it at one balancer
+    _, breaks = played(conduct, Shape(rate=40.0), {f"b{at}": fault for at in (range(1, 6) if everywhere else (3,))})
     assert promise in {found.promise for found in breaks}
 
 
