--- a/corklift/lab/load.py
+++ b/corklift/lab/load.py
@@ -21,13 +21,13 @@
 
 from hdrh.histogram import HdrHistogram
 
-from corklift.net.limits import MS, SECOND, Limits
-from corklift.net.scheduler import READ, WRITE, Scheduler, wall_clock
-from corklift.net.stream import OverLong, Stream
+from corklift.net.limits import MS, SECOND
+from corklift.net.scheduler import READ, Scheduler, wall_clock
+from corklift.net.stream import Stream
+from corklift.standins.client import answer, connected
 from corklift.standins.discovery import Discovery
 from corklift.standins.transcriber import Transcriber
 
-CLIENT = Limits(clients=0, waiting=0, probes=0, connect_time=SECOND, stop_time=SECOND, line=1024, ring=1024)
 MOST_SECONDS, MOST_RATE, MOST_CLIENTS = 600.0, 5_000.0, 15_000
 WAIT = 3 * SECOND  # a client's own time limit
 DIRECT = 0.25  # of the logins go straight to a transcriber, for what a connection costs without a balancer
@@ -127,54 +127,28 @@
 
     # Clients
 
-    def _connected(self, address: tuple[str, int], until: int) -> Stream | None:
-        stream = Stream.connect(address, CLIENT)
-        while not stream.broken and not self.scheduler.wait({stream.fd: WRITE}, until):
-            if self.scheduler.now() >= until:
-                break
-        else:
-            if not stream.failed():
-                return stream
-        stream.close()
-        return None
-
-    def _answer(self, stream: Stream, line: bytes, until: int) -> bytes:
-        """The line that comes back, or nothing."""
-        stream.write(line)
-        while True:
-            stream.receive()
-            try:
-                answer = stream.take_line()
-            except OverLong:
-                return b""
-            if answer is not None:
-                return answer
-            if stream.ended or stream.broken or self.scheduler.now() >= until:
-                return b""
-            self.scheduler.wait({stream.fd: READ}, until)
-
     def _line(self, address: tuple[str, int], line: bytes, span: int) -> bytes:
         until = self.scheduler.now() + span
-        stream = self._connected(address, until)
+        stream = connected(self.scheduler, address, until)
         if stream is None:
             return b""
         try:
-            return self._answer(stream, line, until)
+            return answer(self.scheduler, stream, line, until)
         finally:
             stream.close()
 
     def _login(self, due: int, way: str, address: tuple[str, int], hold: int) -> None:
         self.late_starts.record_value(max(1, (self.scheduler.now() - due) // 1000))
         until = due + WAIT
-        stream = self._connected(address, until)
+        stream = connected(self.scheduler, address, until)
         if stream is None:
             self.outcomes[f"{way}: no connection"] += 1
             return
         try:
             line = b"OPEN %016x %x c=plain,d=%d\r\n" % (self._rng.getrandbits(64), self._rng.getrandbits(60), WAIT // MS)
-            answer = self._answer(stream, line, until)
+            told = answer(self.scheduler, stream, line, until)
             took = max(1, (self.scheduler.now() - due) // 1000)
-            word = answer.split(b" ")[0].strip().decode() or "no answer"
+            word = told.split(b" ")[0].strip().decode() or "no answer"
             self.outcomes[f"{way}: {word}"] += 1
             if word != "UP":
                 if way == "balancer" and word == "BUSY":
--- a/corklift/rig/fleet.py
+++ b/corklift/rig/fleet.py
@@ -18,12 +18,12 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from corklift.net.limits import MS, SECOND, Limits
-from corklift.net.scheduler import READ, WRITE, Scheduler, wall_clock
-from corklift.net.stream import OverLong, Stream
+from corklift.net.limits import MS, SECOND
+from corklift.net.scheduler import READ, Scheduler, wall_clock
+from corklift.net.stream import Stream
 from corklift.rig.links import SOUND, Fault, Link
+from corklift.standins.client import answer, connected
 
-CLIENT = Limits(clients=0, waiting=0, probes=0, connect_time=SECOND, stop_time=SECOND, line=1024, ring=1024)
 WAIT = 3 * SECOND  # a client's own time limit
 MOST_BALANCERS, MOST_SERVERS, MOST_RATE, MOST_SECONDS = 40, 40, 500.0, 300.0
 COLD = {"start_share": 0.3, "ramp_ms": 8000, "multiple": 3.0, "span_ms": 1000}
@@ -352,7 +352,7 @@
             stream = self._connected(name, self.scheduler.now() + SECOND)
             if stream is not None:
                 try:
-                    if self._answer(stream, b"PING\r\n", self.scheduler.now() + SECOND) == b"PONG\r\n":
+                    if answer(self.scheduler, stream, b"PING\r\n", self.scheduler.now() + SECOND) == b"PONG\r\n":
                         self.serving.add(name)
                         self.note("taken in", who=name)
                         return
@@ -384,32 +384,7 @@
             pause = max(pause, 100 * MS)
 
     def _connected(self, balancer: str, until: int) -> Stream | None:
-        try:
-            stream = Stream.connect(("127.0.0.1", self.links["client", balancer].port), CLIENT)
-        except OSError:
-            return None
-        while not stream.broken and not self.scheduler.wait({stream.fd: WRITE}, until):
-            if self.scheduler.now() >= until:
-                break
-        else:
-            if not stream.failed():
-                return stream
-        stream.close()
-        return None
-
-    def _answer(self, stream: Stream, line: bytes, until: int) -> bytes:
-        stream.write(line)
-        while True:
-            stream.receive()
-            try:
-                answer = stream.take_line()
-            except OverLong:
-                return b""
-            if answer is not None:
-                return answer
-            if stream.ended or stream.broken or self.scheduler.now() >= until:
-                return b""
-            self.scheduler.wait({stream.fd: READ}, until)
+        return connected(self.scheduler, ("127.0.0.1", self.links["client", balancer].port), until)
 
     def _login(self, workload: str, again: bool, ends: int) -> tuple[str, int]:
         balancer = self.rng.choice(sorted(self.serving))
@@ -424,15 +399,15 @@
             line = b"OPEN %s %x c=%s,d=%d%s\r\n" % (login.encode(), self.rng.getrandbits(60), workload.encode(), WAIT // MS,
                                                    b",again=1" if again else b"")
             # Waits longer than its limit, to tell a late answer from none.
-            answer = self._answer(stream, line, asked + 2 * WAIT)
-            word = answer.split(b" ")[0].strip().decode("ascii", "replace")
+            heard = answer(self.scheduler, stream, line, asked + 2 * WAIT)
+            word = heard.split(b" ")[0].strip().decode("ascii", "replace")
             self.note("answer", "client", login=login, word=word, took_ns=self.scheduler.now() - asked,
                       how="line" if word else "ended" if stream.ended else "reset" if stream.broken else "nothing")
             if word != "UP":
                 more = self._rest(stream, 300 * MS)
                 if more:
                     self.note("more", "client", login=login, text=more.decode("ascii", "replace")[:80])
-                told = answer.split(b" ")[1:2]
+                told = heard.split(b" ")[1:2]
                 return word, int(told[0]) * MS if word == "BUSY" and told and told[0].strip().isdigit() else 0
             stood = True
             self.held[balancer] = self.held.get(balancer, 0) + 1
