--- a/corklift/rig/standin.py
+++ b/corklift/rig/standin.py
@@ -16,9 +16,8 @@
 from corklift.net.scheduler import READ, Scheduler, wall_clock
 from corklift.net.stream import Stream
 from corklift.standins.discovery import Discovery
-from corklift.standins.transcriber import LIMITS, Placed, Transcriber
+from corklift.standins.transcriber import Transcriber
 
-_OPEN = re.compile(rb"OPEN (\S+) (\S+) (\S+)\r\n")
 FALLEN = 3 * SECOND  # that a server which was pushed over is away
 
 
@@ -56,14 +55,13 @@
     span's worth of them is queued (docs/design/lab.md)."""
 
     def __init__(self, told: Told, name: str, size: float, cold: dict[str, Any]) -> None:
-        super().__init__(told.scheduler, name, size, self._arrived, int(cold["ramp_ms"]) * MS)
+        super().__init__(told.scheduler, name, size, lambda placed: None, int(cold["ramp_ms"]) * MS)
         self._told, self._cold = told, cold
         self.started_at = 0
         self._queued, self._queued_at = 0.0, 0
-        self._streams: set[Stream] = set()
 
-    def _arrived(self, placed: Placed) -> None:
-        self._told.say("placed", server=self.name, client=placed.by, what=placed.what)
+    def _placed(self, login: str, by: str, what: str) -> None:
+        self._told.say("placed", server=self.name, client=login, what=what)
         now = self._scheduler.now()
         age = now - self.started_at
         if age >= self.ramp:
@@ -82,43 +80,15 @@
         self.fails = False
         self.started_at = self._scheduler.now()
 
-    def _lines(self, stream: Stream) -> None:
-        """As the plain one does; what is opened is told with its id, and how it ended."""
-        up, opened = False, b""
-        try:
-            while True:
-                stream.receive()
-                line = stream.take_line()
-                if line is None:
-                    if stream.ended or stream.broken:
-                        return
-                    self._scheduler.wait({stream.fd: READ})
-                elif line == b"STATS\r\n" and not up:
-                    while self.silent:
-                        self._scheduler.sleep(SECOND // 10)
-                    stream.write(b"PONG inflight=%d,x0=%.4f\r\n" % (self.open, self.open / self.size))
-                elif (found := _OPEN.fullmatch(line)) and not up:
-                    opened = found[1]
-                    while self.silent:
-                        self._scheduler.sleep(SECOND // 10)
-                    if self.fails:
-                        self._told.say("turned away", server=self.name, login=opened.decode())
-                        stream.write(b"ERR\r\n")
-                        return
-                    up = True
-                    self.open += 1
-                    self._note(Placed(self._scheduler.now(), self.name, opened.decode(), found[3].decode()))
-                    stream.write(b"UP %s\r\n" % self.name.encode())
-                elif line == b"quit\r\n":
-                    stream.write(b"BYE\r\n")
-                    return
-                else:
-                    stream.write(line)
-        finally:
-            if up:
-                self.open -= 1
-                self._told.say("ended", server=self.name, client=opened.decode())
-            stream.close()
+    def _opening(self) -> None:
+        while self.silent:
+            self._scheduler.sleep(SECOND // 10)
+
+    def _turned_away(self, login: str) -> None:
+        self._told.say("turned away", server=self.name, login=login)
+
+    def _ended(self, login: str) -> None:
+        self._told.say("ended", server=self.name, client=login)
 
 
 def server(name: str, given: dict[str, Any]) -> None:
@@ -183,7 +153,6 @@
 
 if __name__ == "__main__":
     kind, name, given_text = sys.argv[1:4]
-    assert LIMITS.line
     if kind == "server":
         server(name, json.loads(given_text))
     else:
--- a/corklift/standins/transcriber.py
+++ b/corklift/standins/transcriber.py
@@ -78,7 +78,7 @@
         self._lines(Stream(sock, LIMITS))
 
     def _lines(self, stream: Stream) -> None:
-        up = False
+        up, login = False, ""
         try:
             while True:
                 stream.receive()
@@ -92,12 +92,15 @@
                         self._scheduler.sleep(SECOND // 10)
                     stream.write(b"PONG inflight=%d,x0=%.4f\r\n" % (self.open, self.open / self.size))
                 elif (found := _OPEN.fullmatch(line)) and not up:
+                    login = found[1].decode()
+                    self._opening()
                     if self.fails:
+                        self._turned_away(login)
                         stream.write(b"ERR\r\n")
                         return
                     up = True
                     self.open += 1
-                    self._note(Placed(self._scheduler.now(), self.name, found[2].decode(), found[3].decode()))
+                    self._placed(login, found[2].decode(), found[3].decode())
                     stream.write(b"UP %s\r\n" % self.name.encode())
                 elif line == b"quit\r\n":
                     stream.write(b"BYE\r\n")
@@ -109,8 +112,23 @@
         finally:
             if up:
                 self.open -= 1
+                self._ended(login)
             stream.close()
 
+    # What a further stand-in does at each step of a connection by lines
+
+    def _opening(self) -> None:
+        """A login has come; may wait."""
+
+    def _turned_away(self, login: str) -> None:
+        pass
+
+    def _placed(self, login: str, by: str, what: str) -> None:
+        self._note(Placed(self._scheduler.now(), self.name, by, what))
+
+    def _ended(self, login: str) -> None:
+        pass
+
     def _say(self, call: LiveCall, request: bytes) -> bytes:
         self._note(Placed(self._scheduler.now(), self.name, call.peer, "say"))
         return self.name.encode()
