A file that listens on every address must tell peers where to call

Seen on the last read: with listen 0.0.0.0 and no advertise a member told all others 0.0.0.0, that is themselves. Refused by key now; the test of files has the case.

--- a/corklift/serve.py
+++ b/corklift/serve.py
@@ -77,6 +77,9 @@
         raise BadConfig(f"config: {path}: {problem}") from None
     peers = found.peers
     if peers is not None:
+        if peers.at[0] == "0.0.0.0" and peers.advertise is None:
+            # Guards against a member that tells all others to call themselves.
+            raise BadConfig("config: peers.advertise is missing: listen holds every address, and others need one")
         for key, address in [("listen", peers.listen), ("advertise", peers.advertise or peers.listen),
                              *(("join", at) for at in peers.join), *((f"via.{name}", at) for name, at in peers.via.items())]:
             host, port = split(address)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -171,7 +171,8 @@
     assert "peers of b1" in check("deploy/three/b1.toml")
     path = tmp_path / "b.toml"
     for change, key in ((('name = "b1"', 'name = ""'), "peers.name"), (('listen = "127.0.0.1:7101"', 'listen = "127.0.0.1:99999"'), "peers.listen"),
-                        (('zone = "here"', 'zon = "here"'), "zon"), (('"127.0.0.1:7102"', '"300.0.0.1:7102"'), "peers.join"),
+                        (('zone = "here"', 'zon = "here"'), "zon"),
+                        (('listen = "127.0.0.1:7101"', 'listen = "0.0.0.0:7101"'), "peers.advertise"), (('"127.0.0.1:7102"', '"300.0.0.1:7102"'), "peers.join"),
                         (("balancers = 3", 'balancers = "x"'), "balancers"), (('discovery = "127.0.0.1:8500"', ""), "discovery"),
                         (("[peers]", "[peers"), "b.toml")):
         assert change[0] in whole
