--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,78 +1,67 @@
-"""Case 3: a planned restart of a balancer whose listening socket the platform holds."""
+"""Case 3: a server drains after another one has left whose name has the same number."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
-import socket
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import standins as s  # noqa: E402
 
-WORKLOADS = [
-    {"name": "subestacion", "soft-limit-ns": 300 * s.MS, "time-limit-ns": 1200 * s.MS},
-    {"name": "medidor", "soft-limit-ns": 500 * s.MS, "time-limit-ns": 2000 * s.MS},
-]
+GRACE = 0.5  # rules.drain-grace-ns of the settings
 
 
 async def case(record, folder, trouble, started) -> int:
-    servers = [s.Server(record, f"s-{number:08x}") for number in (0x5BE2A07C, 0x1F, 0x2E, 0x3D)]
+    # Servers are numbered in each data centre.
+    names = ["atlanta-20260001", "nashville-20260001", "atlanta-20260002", "nashville-20260002"]
+    second = names[1]
+    servers = {name: s.Server(record, name) for name in names}
     discovery = s.Discovery(record)
     await discovery.start()
-    for server in servers:
+    for name, server in servers.items():
         await server.start()
-        discovery.put(server.name, server.port)
-    listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
-    port = listener.getsockname()[1]
+        discovery.put(name, server.port, zone=name.partition("-")[0])
+    port, admin = s.free_port(), s.free_port()
     config = {
         "name": "n1",
         "listen": f"127.0.0.1:{port}",
         "discovery": f"127.0.0.1:{discovery.port}",
+        "admin_addr": f"127.0.0.1:{admin}",
         "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": discovery.listing(),
-        "settings": s.settings(WORKLOADS),
+        "settings": s.settings([s.STANDARD]),
     }
-
-    def start(name):
-        admin = s.free_port()
-        balancer = s.Balancer(
-            record,
-            folder,
-            config,
-            name,
-            BALANCER_LISTEN_FD=str(listener.fileno()),
-            BALANCER_ADMIN_ADDR=f"127.0.0.1:{admin}",
-        )
-        started.append(balancer)
-        return balancer
-
-    old = start("process-1")
+    started.append(s.Balancer(record, folder, config, "n1"))
     await s.wait_ready(port)
     clients = s.Clients(record, port)
-    for workload, wait in (("subestacion", 1200), ("medidor", 2000)) * 10:
-        clients.spawn(workload, wait, 15, returns=False)  # moved: the front sends it elsewhere
-    await asyncio.sleep(3)
-    restart_at = record.now()
+    load = asyncio.create_task(clients.load(22, 5, "standard", 3200, 3))
+    await asyncio.sleep(4)
     if trouble:
-        old.signal(signal.SIGTERM)
-    # New connections go on coming for 0.4 s.
-    await clients.load(0.4, 20, "subestacion", 1200, 5)
+        # The first server is taken away: it drains, its clients go, and it leaves.
+        discovery.set_status(names[0], "leaving")
+        servers[names[0]].send_clients_away()
+    await asyncio.sleep(4)
     if trouble:
-        while old.process.poll() is None:
-            if record.now() - restart_at > 2.7:
-                old.signal(signal.SIGKILL)
-            await asyncio.sleep(0.01)
-        record.write(f"platform: process-1 ended {record.now() - restart_at:.3f} s after SIGTERM")
-        start("process-2")
-    await clients.finish(30)
-    listener.close()
-    late = [login for login in clients.late() if login.sent_at >= restart_at]
-    record.write(f"logins: {len(clients.logins)}")
-    record.write(f"logins lost (no answer until 0.5 s after their time): {len(late)}")
-    return 1 if late else 0
+        discovery.set_status(names[0], "left")
+    await asyncio.sleep(4)
+    # The second one drains.
+    discovery.set_status(second, "leaving")
+    told_index = discovery.index
+    servers[second].send_clients_away()
+    await load
+    await clients.finish(10)
+    told = next((at for at, index in discovery.told if index >= told_index), None)
+    if told is None:
+        record.write("the balancer never asked for the change")
+        return 2
+    after = [at for at, _ in servers[second].opens if at > told + GRACE]
+    record.write(f"{second}: told as leaving at {told:.3f}")
+    record.write(f"new connections sent to it later than {GRACE} s after that: {len(after)}")
+    status, text = await s.admin_call(admin, "POST", "/admin/cordon", f'{{"member":"{second}"}}')
+    record.write(f"cordon of {second}: {status} {text.strip()}")
+    return 1 if after else 0
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -220,6 +220,7 @@
     def __init__(self, record: Record, port: int) -> None:
         self.record, self.port = record, port
         self.logins: list[Login] = []
+        self.open: set[str] = set()  # names of connections that are up
         self.rng = random.Random(7)
         self._tasks: set[asyncio.Task] = set()
 
@@ -283,8 +284,10 @@
             )
             if not login.answer.startswith("UP "):
                 return ""
+            self.open.add(login.name)
             return await self._lines(login, reader, writer, until)
         finally:
+            self.open.discard(login.name)
             with contextlib.suppress(OSError):
                 writer.close()
 
