A login that meets an error while it is placed is answered and leaves nothing behind

What callers saw: bad clients that state a load of 1e308 were closed without an answer, and each left its login behind.

Cause: `Facade.place_login` registered the login and then had it placed. The conversion of the stated load to whole nanoseconds raised OverflowError, and `Relay._place_login` called this before its `try`: nobody released the login, and nobody answered its client. An error of a hook or of the decisions had the same effect. `report_restored` had the same order for connections from before the start, and an error of `hand_off_started` left the count of open connections too high.

Why this works: `register_login` can't fail after its entry, and every later step is inside the `try` whose `finally` releases the login and sends its final answer, whatever raises. `_restore_connection` has one place for the answer too, and `report_restored` releases what it has entered.

--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -216,18 +216,23 @@
     def time_limit(self, login_request: LoginRequest) -> int:
         return self._all_workloads[self._workloads[login_request.workload]].time_limit
 
-    def place_login(self, login_request: LoginRequest, time_limit_at: int) -> LoginHandle:
-        """Registers a new login; its task is woken when its target or rejection is decided."""
+    def register_login(self, login_request: LoginRequest, time_limit_at: int) -> LoginHandle:
+        """Registers a new login; the caller releases it, whatever happens to it."""
+        return self._new_login(time_limit_at, login_request)
+
+    def place_login(self, handle: LoginHandle, login_request: LoginRequest) -> None:
+        """Has a registered login placed; its task is woken when its target or rejection is decided.
+
+        Raises whatever goes wrong in the decisions or their hooks; the login stays registered.
+        """
         self.before_placement()
-        rejection = self.admission_check(login_request, self._next_login)
-        handle = self._new_login(time_limit_at, login_request)
+        rejection = self.admission_check(login_request, handle.number)
         if rejection is not None:
             handle.decision = rejection
-            return handle
+            return
         now = self._scheduler.now()
         self._reports_valid_at = self._reports_valid_at or now + self._settle_time
         self._balancer.login_arrived(now, self._to_login(handle, login_request))
-        return handle
 
     def report_failed_hand_off(
         self, handle: LoginHandle, outcome: Outcome, values: dict[str, float] | None = None
@@ -288,7 +293,12 @@
         handle.target, handle.hand_off_count, handle.sent_at = target, 1, now
         self._connection_count += 1
         handle.is_connected = True
-        self._balancer.connection_resumed(now, self._to_login(handle, login_request), target.server)
+        try:
+            login = self._to_login(handle, login_request)
+            self._balancer.connection_resumed(now, login, target.server)
+        except Exception:
+            self.release_login(handle)
+            raise
         return handle
 
     def report_connection_end(
@@ -312,9 +322,14 @@
             )
 
     def release_login(self, handle: LoginHandle) -> None:
-        """Ends the handling of a login; one without a final answer counts as left by its client."""
+        """Ends the handling of a login; one without a final answer counts as left by its client.
+
+        A connection has ended before, unless an error came while it was entered.
+        """
         self.login_finished(handle.number, None)
         if self._logins.pop(handle.number, None) is not None:
+            if handle.is_connected:
+                self._connection_count -= 1
             self._balancer.login_dropped(
                 self._scheduler.now(), handle.number, nothing_sent=not handle.is_sent
             )
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -60,6 +60,14 @@
     values: dict[str, float] | None = None
 
 
+class RestoredConnection(NamedTuple):
+    """A connection from before the start that is open again at its server."""
+
+    server: Stream
+    line: bytes  # the server's `UP` line
+    handle: LoginHandle
+
+
 class Relay:
     """Accepts clients and serves each of them in a task of its own."""
 
@@ -319,11 +327,12 @@
         ):
             raise Malformed("absurd time to wait")
         time_limit = min(request.max_wait, self._facade.time_limit(request))
-        handle = self._facade.place_login(
+        handle = self._facade.register_login(
             request, self._now() + time_limit - self._limits.answer_margin
         )
         answer, result_name = FAILED, "failed"
         try:
+            self._facade.place_login(handle, request)
             while isinstance(decision := self._await_decision(client, handle), HandOffTarget):
                 result = self._hand_off(client, decision, request, handle)
                 if result.server is not None:
@@ -363,36 +372,51 @@
 
     def _restore_connection(self, client: Stream, request: LoginRequest) -> None:
         """Re-establishes a connection from before the start, at the same server only."""
-        until = self._now() + min(
-            self._limits.standing_time, request.max_wait or self._limits.standing_time
-        )
+        restored, answer = None, FAILED
         task = self._scheduler.current
         self._restoring.add(task)
         try:
-            while self._now() < until:
-                target = self._facade.find_server(request.previous_server)
-                if target is not None:
-                    result = self._hand_off(
-                        client, target._replace(cut_at=until, send_before=until), request
-                    )
-                    if result.server is not None:
-                        try:
-                            handle = self._facade.report_restored(request, target)
-                            self._restoring.remove(task)
-                            return self._run_connection(
-                                client, result.server, result.line, handle, request
-                            )
-                        finally:
-                            result.server.close()
-                    self._counters[f"standing connections {result.outcome.value}"] += 1
-                self._wait_for_client(client, self._now() + self._limits.standing_pause)
+            restored = self._reopen(client, request)
         except (ClientDisconnectedError, StopTimeOverError):
             pass
+        except Malformed:
+            answer = b""  # `_serve_client` rejects the client
+            raise
         finally:
             self._restoring.discard(task)
-        self._counters["standing connections lost"] += 1
-        self._counters.count_answer("failed", request.workload)
-        self._finish(client, FAILED)
+            if restored is None and answer:
+                self._counters["standing connections lost"] += 1
+                self._counters.count_answer("failed", request.workload)
+                self._finish(client, answer)
+        if restored is not None:
+            try:
+                self._run_connection(
+                    client, restored.server, restored.line, restored.handle, request
+                )
+            finally:
+                restored.server.close()
+
+    def _reopen(self, client: Stream, request: LoginRequest) -> RestoredConnection | None:
+        """Tries the server of the former connection again and again; None if the time is over."""
+        until = self._now() + min(
+            self._limits.standing_time, request.max_wait or self._limits.standing_time
+        )
+        while self._now() < until:
+            target = self._facade.find_server(request.previous_server)
+            if target is not None:
+                result = self._hand_off(
+                    client, target._replace(cut_at=until, send_before=until), request
+                )
+                if result.server is not None:
+                    try:
+                        handle = self._facade.report_restored(request, target)
+                    except Exception:
+                        result.server.close()
+                        raise
+                    return RestoredConnection(result.server, result.line, handle)
+                self._counters[f"standing connections {result.outcome.value}"] += 1
+            self._wait_for_client(client, self._now() + self._limits.standing_pause)
+        return None
 
     # A hand-off
 
--- a/corklift/rig/mutants.py
+++ b/corklift/rig/mutants.py
@@ -116,11 +116,11 @@
     """Every twentieth login is answered after its time limit."""
     original, calls = Facade.place_login, [0]
 
-    def place_login(self: Any, login_request: Any, until: int) -> Any:
+    def place_login(self: Any, handle: Any, login_request: Any) -> None:
         calls[0] += 1
         if calls[0] % 20 == 0:
             self._scheduler.sleep(4_200_000_000)
-        return original(self, login_request, until)
+        original(self, handle, login_request)
 
     Facade.place_login = place_login  # type: ignore[method-assign]
 
