Numbers that clients and servers state are refused above a stated range

A server's `LOAD 1e308` made the loads of all later logins 0, and of its own connection NaN, for the rest of the process. A report `x0=0.05,inflight=1e308` raised in `probe_answered`, so that logins that waited for that probe waited on.

Cause: `_parse_number` took any finite number. The decisions multiply, add and divide such numbers, and the result was no longer finite: `round(cost * 1000)`, `value * unit`, `log(count / utilisation)`.

Why this works: all three doors (first line, load report, `LOAD`) read numbers with `_parse_number`, which now refuses what is above 1e21, as it refused negative numbers and NaN.

--- a/corklift/net/parsers.py
+++ b/corklift/net/parsers.py
@@ -37,6 +37,10 @@
 _HEXADECIMAL_NAME = re.compile(r"(?:[A-Za-z]+-)?([0-9a-f]{8,16})")
 _ADDRESS = re.compile(r"((?:\d{1,3}\.){3}\d{1,3}):(\d{1,5})")
 
+# The largest number that a client or a server may state. Counts, bytes and times in ns are all
+# smaller, and sums and products of such numbers stay finite.
+MAX_NUMBER = 1e21
+
 
 class Malformed(Exception):
     """The input does not follow the protocol.
@@ -116,11 +120,12 @@
 
 
 def _parse_number(text: str) -> float:
+    """Parses a number that a client or a server states, from 0 to `MAX_NUMBER`."""
     try:
         value = float(text)
     except ValueError:
         raise Malformed("no number") from None
-    if not math.isfinite(value) or value < 0:
+    if not 0 <= value <= MAX_NUMBER:  # nor a NaN
         raise Malformed("absurd number")
     return value
 
