A server's id follows from its name alone, so that its drains reach it

Cause: `Facade._server_id` used the number in a name as the id, or a hash where another *known* name had that number. The same name had one id before the other was forgotten and another id afterwards, so that a change went to an id that the decisions did not know. Two processes of one balancer, which exchange learned state by ids, could differ too.

Why this works: `server_id` hashes the whole name. It looks at nothing else, so it can't change. Subjects and groups keep `stable_id`.

The learned state of a process of the version before has the former ids: they are translated where one known name has that number.

--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -27,7 +27,7 @@
     Workload,
 )
 from corklift.net.limits import Counters
-from corklift.net.parsers import Listing, LoginRequest, stable_id
+from corklift.net.parsers import Listing, LoginRequest, numbered_id, server_id, stable_id
 from corklift.net.scheduler import Scheduler, Task
 from corklift.policy import Balancer
 
@@ -113,6 +113,8 @@
         # Hook of peer membership, which has to notice that this process was suspended.
         self.before_placement: Callable[[], None] = lambda: None
         self._names: dict[int, str] = {}
+        # The result of `_present_ids`, while the names stay as they are.
+        self._cached_present_ids: dict[int, int] | None = None
         self._addresses: dict[int, tuple[str, int]] = {}
         self._ready: set[int] = set()  # ready servers in the list
         self._listed: set[int] = set()  # ready and draining servers in the list
@@ -388,7 +390,7 @@
 
     def find_server(self, name: str) -> HandOffTarget | None:
         """Returns the server with this name, without a deadline; None if it is unknown."""
-        server = self._server_id(name)
+        server = server_id(name)
         address = self._addresses.get(server)
         return None if address is None else HandOffTarget(server, address, 0, 0)
 
@@ -410,9 +412,7 @@
 
     def placed_by_others(self, name: str, placed: int, failed: int) -> None:
         """Reports how many logins others placed on this server, and how many of them failed."""
-        self._balancer.placed_by_others(
-            self._scheduler.now(), self._server_id(name), placed, failed
-        )
+        self._balancer.placed_by_others(self._scheduler.now(), server_id(name), placed, failed)
 
     def rejected_by_others(self, count: int) -> None:
         """Reports how many logins others refused; they count in the rate of logins only."""
@@ -441,7 +441,7 @@
 
     def take_out_of_service(self, name: str) -> bool:
         """Drains the server until it is restored; returns whether there is such a server."""
-        server = self._server_id(name)
+        server = server_id(name)
         if server not in self._listed and server not in self._out_of_service:
             return False
         self.apply_operator_override(name, True)
@@ -452,7 +452,7 @@
 
         The server then serves again if the list has it as ready.
         """
-        server = self._server_id(name)
+        server = server_id(name)
         if self._out_of_service.pop(server, None) is not None:
             self._balancer.restore_to_service(self._scheduler.now(), server)
             return True
@@ -462,8 +462,8 @@
         """Applies an override given to another process or balancer, even to an unlisted server."""
         if not out_of_service:
             self.restore_to_service(name)
-        elif self._server_id(name) not in self._out_of_service:
-            server = self._server_id(name)
+        elif server_id(name) not in self._out_of_service:
+            server = server_id(name)
             self._out_of_service[server] = name
             self._log(f"server {name:.80} is out of service by operator override")
             self._balancer.take_out_of_service(self._scheduler.now(), server)
@@ -481,7 +481,7 @@
         self.import_learned_state(
             {
                 "servers": [
-                    [self._server_id(name), size, 0, 0.0, 0, 0, 0] for name, size in sizes.items()
+                    [server_id(name), size, 0, 0.0, 0, 0, 0] for name, size in sizes.items()
                 ],
                 "homes": [],
                 "open": [],
@@ -503,7 +503,7 @@
 
     def knows_server(self, name: str) -> bool:
         """Whether there is such a server, in the list or out of service."""
-        server = self._server_id(name)
+        server = server_id(name)
         return server in self._listed or server in self._out_of_service
 
     def server_name(self, server: int) -> str:
@@ -527,11 +527,13 @@
     def import_learned_state(self, learned: dict[str, Any]) -> None:
         """Takes over the state that an earlier process learned; ignores what can't be read."""
         try:
+            learned = self._with_present_ids(learned)
             self._balancer.import_learned_state(self._scheduler.now(), learned)
         except (TypeError, ValueError, KeyError, AttributeError, OverflowError) as problem:
             self._log(f"cannot read the learned state of an earlier process: {problem!r:.100}")
 
     def connection_ended_elsewhere(self, server: int, load: float) -> None:
+        server = self._present_ids().get(server, server)
         self._balancer.connection_ended_elsewhere(self._scheduler.now(), server, load)
 
     def other_processes_ended(self) -> None:
@@ -545,9 +547,10 @@
     def apply_listing(self, scope: Scope, content: Listing) -> None:
         """Applies the server list or an update of it."""
         content = self.recovered_list(scope, content)
+        self._cached_present_ids = None
         servers = []
         for entry in content.entries:
-            server = self._server_id(entry.name)
+            server = server_id(entry.name)
             if self._addresses.get(server, entry.address) != entry.address:
                 self.close_probe_connection(server)  # it leads to the process of before
             self._names[server], self._addresses[server] = entry.name, entry.address
@@ -700,14 +703,35 @@
 
     # Internals
 
-    def _server_id(self, name: str) -> int:
-        server = stable_id(name)
-        # Names that differ only in the prefix before the number would get the same id.
-        return (
-            server
-            if self._names.get(server, name) == name
-            else stable_id(name, allow_hexadecimal=False)
-        )
+    def _present_ids(self) -> dict[int, int]:
+        """Returns the id of each known server by its former id, where no other server shared that.
+
+        Until version 0.2.0 a hexadecimal name had its number as its id. An earlier process of this
+        balancer may still do so.
+        """
+        if self._cached_present_ids is None:
+            servers_by_former_id: dict[int, list[int]] = {}
+            for server, name in self._names.items():
+                former_id = numbered_id(name)
+                if former_id is not None:
+                    servers_by_former_id.setdefault(former_id, []).append(server)
+            self._cached_present_ids = {
+                former_id: servers[0]
+                for former_id, servers in servers_by_former_id.items()
+                if len(servers) == 1
+            }
+        return self._cached_present_ids
+
+    def _with_present_ids(self, learned: dict[str, Any]) -> dict[str, Any]:
+        """Returns the learned state of an earlier process with the ids that servers have now."""
+        present = self._present_ids()
+        return learned | {
+            "servers": [
+                [present.get(server, server), *rest] for server, *rest in learned["servers"]
+            ],
+            "homes": [[group, present.get(home, home)] for group, home in learned["homes"]],
+            "open": [[present.get(server, server), group] for server, group in learned["open"]],
+        }
 
     def _workload_since_start(self, login_request: LoginRequest) -> int:
         """Returns the index of an admitted login's workload, even if a reload has removed it."""
--- a/corklift/net/parsers.py
+++ b/corklift/net/parsers.py
@@ -54,21 +54,32 @@
     """The message, its header or its body exceeds the limit."""
 
 
-def stable_id(text: str, allow_hexadecimal: bool = True) -> int:
-    """Returns the id of a name. It is the same at every balancer, as decisions order servers by it.
+def _hashed_id(text: str) -> int:
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big") or 1
 
-    A name that is a hexadecimal number, with or without a prefix such as `s-`, has that number as
-    its id. The simulator's wire uses the same numbers, so servers are ordered alike there. Any
-    other name is hashed. With `allow_hexadecimal=False` every name is hashed, for the case that
-    another name has the same number.
+
+def numbered_id(text: str) -> int | None:
+    """Returns the number of a hexadecimal name, with or without a prefix such as `s-`."""
+    found = _HEXADECIMAL_NAME.fullmatch(text)
+    return (int(found[1], 16) or 1) if found else None
+
+
+def stable_id(text: str) -> int:
+    """Returns the id of a subject or a group; it is the same at every balancer.
+
+    A hexadecimal name has its number as its id, which the simulator's wire uses too; any other name
+    is hashed. Names that differ in a prefix only may share an id.
     """
-    found = _HEXADECIMAL_NAME.fullmatch(text) if allow_hexadecimal else None
-    number = (
-        int(found[1], 16)
-        if found
-        else int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
-    )
-    return number or 1
+    return numbered_id(text) or _hashed_id(text)
+
+
+def server_id(name: str) -> int:
+    """Returns the id of a server.
+
+    It depends on the name alone, so that it is the same at every balancer and in every process, and
+    two servers never share one.
+    """
+    return _hashed_id(name)
 
 
 class LoginRequest(NamedTuple):
--- a/tests/test_cold_weights.py
+++ b/tests/test_cold_weights.py
@@ -22,7 +22,7 @@
 )
 from corklift.interface import Outcome, Scope, Status
 from corklift.net.limits import MS, SECOND
-from corklift.net.parsers import Listing, ServerEntry
+from corklift.net.parsers import Listing, ServerEntry, server_id
 
 STEP = 10 * MS
 MULTIPLE = 3.0
@@ -88,7 +88,7 @@
         facade = self.program.facade
         for name in self.servers:
             values = {"inflight": self.size * self.utilisation[name], "x0": self.utilisation[name]}
-            facade.probe_finished(facade._server_id(name), Outcome.FULFILLED, MS, values)
+            facade.probe_finished(server_id(name), Outcome.FULFILLED, MS, values)
         facade._probe_queue.clear()
 
     def published(self):
