Zones that the settings do not name are different zones

A tagged login whose repeats are recognised within a zone may be sent again in the same zone only. All zones that the settings do not name had one number, so that it could be repeated in another zone, where it would run twice. A zone that a reload names had another number for servers listed before than for later ones, so that a repeat was refused where it was allowed.

Cause: `Facade.apply_listing` looked the zone's name up in a table of the settings' zones, with one number for all others.

Evidence: the two new tests fail on the text before ({s1, s2, s3, s5, s6} allowed where {s1, s3} share a zone; after a reload s2 in place of s3) and pass now.

Why this works: a zone's id is the hash of its name, as a server's is.

test_reload_applies_settings... asserted the index 1 of the own zone; it now asserts the id of zone b, which differs from that of a: as strict.

--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -27,12 +27,19 @@
     Workload,
 )
 from corklift.net.limits import Counters
-from corklift.net.parsers import Listing, LoginRequest, numbered_id, server_id, stable_id
+from corklift.net.parsers import (
+    Listing,
+    LoginRequest,
+    hashed_id,
+    numbered_id,
+    server_id,
+    stable_id,
+)
 from corklift.net.scheduler import Scheduler, Task
 from corklift.policy import Balancer
 
 _SERVER_NUMBER = re.compile(r"server (\d+)")
-# A zone or machine type that the settings don't name.
+# A machine type that the settings don't name.
 UNKNOWN_INDEX = 0xFFFF
 # The id of no server: `stable_id` is never negative.
 NO_SERVER = -1
@@ -96,7 +103,6 @@
         self._settle_time = settle_time
         # Until then a report without load may not include the connections from before the start.
         self._reports_valid_at: int | None = None
-        self._zones: dict[str, int] = {}
         self._machine_types: dict[str, int] = {}
         # Balancers in the fleet as counted by peer membership; if None, the settings' count holds.
         self._balancer_count: int | None = None
@@ -171,19 +177,15 @@
         """Returns the arguments for the Balancer, with stable indices.
 
         A name keeps its index when its position in the settings changes. Otherwise open connections
-        and listed servers would change their workload or zone at a reload.
+        and listed servers would change their workload or machine type at a reload.
         """
         self._report_names, self._measurement, self._grouped = (
             report_names,
             measurement,
             arguments["grouped"],
         )
-        for known_indices, names in (
-            (self._zones, localities),
-            (self._machine_types, machine_types),
-        ):
-            for name in names:
-                known_indices.setdefault(name, len(known_indices))
+        for name in machine_types:
+            self._machine_types.setdefault(name, len(self._machine_types))
         indices = {workload.name: index for index, workload in enumerate(self._all_workloads)}
         self._workloads = {}
         for workload in arguments["workloads"]:
@@ -192,7 +194,7 @@
         zone = arguments["zone"]
         self._arguments = arguments | {
             "workloads": list(self._all_workloads),
-            "zone": self._zones[localities[zone]] if zone < len(localities) else zone,
+            "zone": hashed_id(localities[zone]) if zone < len(localities) else zone,
         }
         return (
             self._arguments
@@ -557,7 +559,8 @@
             servers.append(
                 ListedServer(
                     server,
-                    self._zones.get(entry.zone, UNKNOWN_INDEX),
+                    # Not by its place in the settings, which may not name it.
+                    hashed_id(entry.zone),
                     self._machine_types.get(entry.kind, UNKNOWN_INDEX),
                     entry.cell,
                     entry.status,
--- a/corklift/net/parsers.py
+++ b/corklift/net/parsers.py
@@ -54,7 +54,8 @@
     """The message, its header or its body exceeds the limit."""
 
 
-def _hashed_id(text: str) -> int:
+def hashed_id(text: str) -> int:
+    """Returns an id that depends on the whole text, and on nothing else."""
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big") or 1
 
 
@@ -70,7 +71,7 @@
     A hexadecimal name has its number as its id, which the simulator's wire uses too; any other name
     is hashed. Names that differ in a prefix only may share an id.
     """
-    return numbered_id(text) or _hashed_id(text)
+    return numbered_id(text) or hashed_id(text)
 
 
 def server_id(name: str) -> int:
@@ -79,7 +80,7 @@
     It depends on the name alone, so that it is the same at every balancer and in every process, and
     two servers never share one.
     """
-    return _hashed_id(name)
+    return hashed_id(name)
 
 
 class LoginRequest(NamedTuple):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,6 +20,7 @@
     HttpResponse,
     Malformed,
     format_busy,
+    hashed_id,
     parse_listing,
     parse_load_report,
     parse_login_request,
@@ -438,7 +439,7 @@
     harness.run(500)
     balancer = harness.process.facade._balancer
     assert [(w.name, w.importance) for w in balancer._workloads] == [("plain", 3), ("new", 1.0)]
-    assert balancer._draw._zone == 1
+    assert balancer._draw._zone == hashed_id("b") != hashed_id("a")
     harness.behaviour["s1"] = "busy"  # the new settings permit one hand-off only
     harness.client("c2", "OPEN 1 7f c=new,d=2000\r\n")
     harness.run(1000)
--- a/tests/test_server_names.py
+++ b/tests/test_server_names.py
@@ -9,8 +9,9 @@
 from harness import MS, BalancerHarness
 
 from corklift.handover import ProcessState, Stage, decode, encode
-from corklift.interface import Scope, Status
+from corklift.interface import Login, Scope, Status
 from corklift.net.parsers import Listing, ServerEntry, numbered_id, server_id
+from corklift.records import Attempt, LoginState
 
 FIRST, SECOND = "atlanta-20260001", "nashville-20260001"
 BOTH = (FIRST, SECOND)
@@ -108,3 +109,61 @@
     learned |= {"homes": [], "open": [], "rate": [3.0, 0]}
     facade.import_learned_state(learned)
     assert set(facade.server_start_times().values()) == {0}
+
+
+class ZonedServers:
+    """A balancer of zone `a` with servers in zones that its settings may not name."""
+
+    WORKLOAD = {
+        "name": "plain",
+        "soft-limit-ns": 800 * MS,
+        "time-limit-ns": 3200 * MS,
+        "effect": "token",
+        "group": "zone",
+        "dedup-window-ns": 9000 * MS,
+    }
+
+    def __init__(self) -> None:
+        self.harness = BalancerHarness(workloads=[self.WORKLOAD], localities=["a"], zone=0)
+        self.facade = self.harness.process.facade
+
+    def list_servers(self, **zones: str) -> None:
+        entries = (
+            ServerEntry(name, ("127.0.0.1", 1), zone, "", 0, Status.READY, 1.0, 0)
+            for name, zone in zones.items()
+        )
+        self.facade.apply_listing(Scope.DELTA, Listing(1, False, tuple(entries), 0))
+
+    def repeat_targets(self, first: str) -> set[str]:
+        """The servers that a tagged login may be sent to after it may have run on the first one."""
+        balancer = self.facade._balancer
+        login = Login(1, 0, 0, 0, self.harness.now + 3000 * MS, None, 0)
+        state = LoginState(login, 1.0, balancer._workloads[0])
+        state.attempts.append(Attempt(server_id(first), self.harness.now))
+        allowed = balancer._retry_policy.server_filter(state)
+        return {self.facade.server_name(s.id) for s in balancer._registry.ready if allowed(s)}
+
+
+# All zones that the settings do not name were one zone: a tagged login whose repeats are recognised
+# within a zone was repeated in another one, so that it could run twice.
+def test_zones_that_the_settings_do_not_name_are_different_zones():
+    servers = ZonedServers()
+    servers.list_servers(s1="x", s2="y", s3="x", s4="a", s5="", s6="")
+    assert servers.repeat_targets("s1") == {"s1", "s3"}
+    assert servers.repeat_targets("s2") == {"s2"}
+    assert servers.repeat_targets("s4") == {"s4"}
+    assert servers.repeat_targets("s5") == {"s5", "s6"}
+
+
+# A zone that a reload names had another number for servers listed before it than for later ones.
+def test_zone_stays_the_same_when_a_reload_names_it(tmp_path):
+    servers = ZonedServers()
+    servers.harness.run(300)  # until discovery has answered, which lists no servers
+    servers.list_servers(s1="x", s2="y")
+    changed = servers.harness.config["settings"] | {"localities": ["y", "a", "x"], "zone": 1}
+    servers.harness.reload(tmp_path / "config", settings=changed)
+    servers.harness.run(50)
+    assert servers.harness.counters["configurations taken"] == 1
+    servers.list_servers(s3="x", s4="y")
+    assert servers.repeat_targets("s1") == {"s1", "s3"}
+    assert servers.repeat_targets("s4") == {"s2", "s4"}
