A name that is no Unicode text is refused where it is read

JSON may hold half of a surrogate pair ("s\ud800"). With such a server name in a list, applying the list raised UnicodeEncodeError: none of it was applied, so that a drain in the same list was not heard, and discovery was called again after 20 ms. A cordon with such a name had no answer.

Cause: ids are hashes of the encoded name; nothing had checked that a name can be encoded.

Evidence: a process in virtual time logged the exception; the lists and the cordon of the two changed tests fail on the text before and pass now.

Why this works: `_parse_entry` counts such an entry as unreadable, as one without a name, and the cordon is answered 400.

--- a/corklift/net/admin.py
+++ b/corklift/net/admin.py
@@ -20,6 +20,7 @@
     Malformed,
     MessageTooLongError,
     format_http_response,
+    is_unicode,
 )
 from corklift.net.scheduler import READ, WRITE, Scheduler, Task
 from corklift.net.stream import Stream
@@ -100,7 +101,7 @@
         self, request: HttpRequest, operation: Callable[[str], bool], state_name: str
     ) -> AdminResponse:
         name = request.json_object().get("member")
-        if not isinstance(name, str) or not name:
+        if not isinstance(name, str) or not name or not is_unicode(name):
             raise Malformed("member is no name of a server")
         try:
             exists = operation(name)
--- a/corklift/net/parsers.py
+++ b/corklift/net/parsers.py
@@ -83,6 +83,15 @@
     return hashed_id(name)
 
 
+def is_unicode(text: str) -> bool:
+    """Whether the text can be encoded; JSON may have half of a surrogate pair, which can't."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 class LoginRequest(NamedTuple):
     """A client's first line, the request to log in."""
 
@@ -226,6 +235,8 @@
         raise Malformed(f"entry: {problem!r}") from None
     if not isinstance(entry.name, str) or not entry.name or not math.isfinite(entry.weight):
         raise Malformed("entry: name or weight")
+    if not all(map(is_unicode, (entry.name, entry.zone, entry.kind))):
+        raise Malformed("entry: text")
     return entry
 
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -118,6 +118,7 @@
         (format_get("/admin/health", "POST"), 405),
         (format_post("/admin/cordon", "{"), 400),
         (format_post("/admin/cordon", {"member": 3}), 400),
+        (format_post("/admin/cordon", {"member": "s\ud800"}), 400),
         (format_post("/admin/cordon", ["s1"]), 400),
         (format_post("/admin/cordon", {"member": "nobody"}), 404),
         (format_post("/admin/uncordon", {"member": "nobody"}), 404),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -677,6 +677,10 @@
         {"name": 3},
         {"since_ms": None},
         {"weight": float("inf")},
+        # Half of a surrogate pair, which raised when the list was applied: none was any more.
+        {"name": "s\ud800"},
+        {"zone": "\udfff"},
+        {"type": "\udfff"},
     ):
         with pytest.raises(Malformed):
             parse_listing({"index": 1, "snapshot": True, "endpoints": [good, good | change]})
