A leaving server costs the same whatever count it has stated

Cause: `Balancer._server_leaves` expects the server's clients to return, and made one list entry for each connection that the server had stated. Each login then walked and copied that list, for three seconds. A cordon and a server that vanishes took the same path.

--- a/corklift/policy/balancer.py
+++ b/corklift/policy/balancer.py
@@ -28,6 +28,7 @@
     UNANSWERED_TO_EVACUATE,
 )
 from corklift.policy.draw import WeightedDraw
+from corklift.policy.expected_returns import ExpectedReturns
 from corklift.policy.failures import FailureTracker, RetryPolicy
 from corklift.policy.groups import GroupHomes
 from corklift.policy.load_reports import LoadReports
@@ -64,8 +65,7 @@
         self._ended_load: dict[int, float] = {}
         # Whether clients of another process of this balancer are expected to return to this one.
         self._expects_returning_clients = False
-        # When connections broke or were moved, one entry for each client expected to return.
-        self._cut_times: list[int] = []
+        self._expected_returns = ExpectedReturns()
         self._cost_sum, self._cost_count = 0.0, 0
         self._timers: dict[int, Callable[[int], None]] = {}
         self._next_mark = 1
@@ -161,13 +161,11 @@
         # Each recently broken or moved connection accounts for one returning client. A further one
         # comes from another balancer. Its load then counts once, as no other balancer places it; in
         # a full fleet all load is counted as usual.
-        recent_cuts = [at for at in self._cut_times if now - at < MAX_REPORT_AGE]
-        may_count_once = (
-            self._expects_returning_clients
-            or self._load_reports.mean_utilisation < HEADROOM_UTILISATION
-        )
-        state.from_other_balancer = login.came_back and not recent_cuts and may_count_once
-        self._cut_times = recent_cuts[login.came_back :]
+        if login.came_back and not self._expected_returns.claim(now):
+            state.from_other_balancer = (
+                self._expects_returning_clients
+                or self._load_reports.mean_utilisation < HEADROOM_UTILISATION
+            )
         self._place(now, state)
 
     def connection_resumed(self, now: int, login: Login, server_id: int) -> None:
@@ -264,7 +262,7 @@
             state.attempts[attempt].outcome = outcome
         if closed:
             if outcome is not Outcome.FULFILLED:
-                self._cut_times.append(now)
+                self._expected_returns.expect(now, 1)
             self._forget(state)
             return
         if server is not None:
@@ -495,7 +493,7 @@
 
     def _server_leaves(self, now: int, server: Server, reason: str, duration: int = 0) -> None:
         # Other balancers' clients on this server return too, to any balancer.
-        self._cut_times += [now] * int(server.count or 0)
+        self._expected_returns.expect(now, int(server.count or 0))
         self._moves.evacuate(server, reason, duration)
 
     def _after(self, wait: int, action: Callable[[int], None]) -> None:
