A process that ends answers the shared queue until a later one is ready

Cause: `HandoverDriver.leave` and `Relay.stop` left the queue of a shared socket to the next process at once, whether one was running or not.

A later process waits for it as for any that serves; once that is ready, this one yields, leaves and does not serve again, so that two never place logins at a time.

The last look is `_accept_last_clients` now, as it no longer always closes a listener.

--- a/corklift/net/handover_driver.py
+++ b/corklift/net/handover_driver.py
@@ -57,6 +57,7 @@
         # Generations whose learned state has been imported.
         self._imported_generations: set[int] = set()
         self._others_running = True  # assumed until the first poll
+        self._is_stopping = False
         # Set by recovery, which stores the operator overrides itself and is authoritative for them.
         self.overrides_stored_elsewhere = False
 
@@ -112,6 +113,16 @@
             self._record_override(name, False)
         return True
 
+    def stop_requested(self) -> None:
+        """Leaves the clients to a later process, unless this is the one that serves.
+
+        That one goes on accepting until a later process is ready or it leaves itself: otherwise
+        clients would wait in the queue for a process that may not even have been started.
+        """
+        self._is_stopping = True
+        if self._handover.stage is not Stage.SERVING:
+            self.leave()
+
     def leave(self) -> None:
         """Stops accepting and says so, so that a later process need not wait for this one."""
         self._handover.leave()
@@ -191,6 +202,8 @@
             self._apply_stage(running)
             self._write_state()
             running, _ = self._files.read_others()
+        if self._is_stopping and self._handover.stage is Stage.YIELDED:
+            self.leave()
         if not self._is_written or (
             running and self._written_client_count != self._relay.client_count
         ):
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -724,26 +724,26 @@
         """Shuts down: accepts logins for a moment, then moves all connections, spread over time.
 
         Returns when no client is left or the stop time is over, which counts from `started_at`.
-        By then every login has been answered, and nobody can connect any more. A reload during
-        the stop does not change its times.
+        By then every login has been answered, and nobody can connect any more, except to the queue
+        of a shared socket. Where another process accepts from that, this one accepts nobody. A
+        reload during the stop does not change its times.
         """
         limits = self._limits
         stop_at = started_at + limits.stop_time
         answer_at = stop_at - limits.stop_margin
         self._facade.answer_all_until(answer_at)
-        if self._socket_shared:
-            self.set_accepting(False)  # the next process accepts the queued clients
-        accept_time = 0 if self._socket_shared else limits.time_to_accept
+        has_successor = not self._accepting
+        accept_time = 0 if has_successor else limits.time_to_accept
         self._scheduler.sleep(started_at + accept_time - self._now())
-        self._rejecting_logins = not self._socket_shared
+        self._rejecting_logins = not has_successor
         move_time, max_count = limits.time_to_move_connections(accept_time), 0
         is_ending = False
         while self._now() < stop_at:
-            if not (self._active_names or self._pending) and self._close_empty_listeners():
+            if not (self._active_names or self._pending) and self._accept_last_clients():
                 if not self._pending:
                     return
             if self._now() >= answer_at:
-                self._close_empty_listeners()
+                self._accept_last_clients()
                 if not is_ending:
                     self._end_unanswered_logins()
                 is_ending = True
@@ -753,13 +753,13 @@
             time_left = max(0, started_at + accept_time + move_time - self._now())
             # Moves are spread over the whole time and start slowly: the balancers that take the
             # clients over must not be flooded, and one that was stopped just before this one may
-            # not be back yet. With a shared socket the next process is already running, so the
-            # moves are spread evenly.
+            # not be back yet. Where the next process is already running, the moves are spread
+            # evenly.
             max_count = max(max_count, len(staying))
             share = (
-                move_time**2 - (move_time - time_left) ** 2
-                if not self._socket_shared
-                else time_left * move_time
+                time_left * move_time
+                if has_successor
+                else move_time**2 - (move_time - time_left) ** 2
             )
             move_count = len(staying) - max_count * share // move_time**2
             for handle in [self._connections[number] for number in staying[: max(0, move_count)]]:
@@ -777,13 +777,13 @@
         for task in self._pending.close_all():
             self._scheduler.wake(task)
 
-    def _close_empty_listeners(self) -> bool:
-        """Accepts the queued clients; closes the listening sockets once their queues are empty.
+    def _accept_last_clients(self) -> bool:
+        """Accepts the queued clients, and no more once the queues are empty; returns whether so.
 
-        Between the last look at a queue and the close no other task runs. Returns whether they are
-        closed. A socket that other processes share stays open for these.
+        Listening sockets of this process alone are closed then. Between the last look at a queue
+        and the close no other task runs. The queue of a shared socket is the next process's then.
         """
-        if self._socket_shared:
+        if self._socket_shared and not self._accepting:
             return True
         try:
             if not all([self._accept_batch(listener) for listener in self._listeners]):
@@ -793,6 +793,6 @@
             self._counters["accepts that failed"] += 1
             return False
         self.set_accepting(False)
-        while self._listeners:
+        while self._listeners and not self._socket_shared:
             self._listeners.pop().close()
         return True
--- a/corklift/service.py
+++ b/corklift/service.py
@@ -352,7 +352,7 @@
         if not self._stopping:
             self._stopping = True
             self.log_writer.write("told to stop")
-            self.handover.leave()
+            self.handover.stop_requested()
             for component in self._components:
                 component.on_stop_requested()
             self.scheduler.spawn(self._drain_and_stop, self.scheduler.now() - time_since)
@@ -361,6 +361,7 @@
         """Shuts down the relay and the components, then lets `run` return."""
         try:
             self.relay.stop(asked_at)
+            self.handover.leave()
             for component in self._components:
                 component.on_clients_drained()
         finally:
--- a/tests/test_crossings_succession.py
+++ b/tests/test_crossings_succession.py
@@ -13,11 +13,14 @@
 import time
 
 import pytest
-from real_process import CONFIG, LOGIN, RealProcess, read_all
+from harness import MS
+from real_process import CONFIG, LOGIN, WORKLOAD, RealProcess, read_all
 
 from corklift.net.handover_driver import HandoverDriver
 from corklift.net.limits import Counters
 
+# With this one, a process takes up to 3.4 s to end.
+LONG_WORKLOAD = WORKLOAD | {"time-limit-ns": 3_000 * MS}
 # A process has opened the shared socket and written its first state, and nothing of it runs yet.
 START = "corklift.net.handover_driver:HandoverDriver.join"
 
@@ -55,8 +58,9 @@
 class Succession:
     """Processes of one balancer, and the socket that they share."""
 
-    def __init__(self, directory) -> None:
+    def __init__(self, directory, **changed_settings) -> None:
         self._directory, self._discovery = directory, Discovery()
+        self.changed_settings = changed_settings
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.processes: list[RealProcess] = []
 
@@ -71,7 +75,7 @@
 
     def start(self, **options) -> RealProcess:
         """Starts the next process."""
-        settings = CONFIG["settings"]
+        settings = CONFIG["settings"] | self.changed_settings
         settings = settings | {"permissions": settings["permissions"] | {"probes": True}}
         process = RealProcess(
             self._directory,
@@ -194,6 +198,42 @@
         assert ends_well(second)
 
 
+# With no next process yet, nobody read the queue from the SIGTERM until one was ready: logins were
+# answered long after their time.
+def test_queue_is_answered_while_the_only_process_ends(tmp_path):
+    with Succession(tmp_path, workloads=[LONG_WORKLOAD]) as balancer:
+        first = balancer.start_serving()
+        held = balancer.accepted()
+        first.signal(signal.SIGTERM)
+        first.wait_for_log("told to stop")
+        # First new logins are placed (and refused here, as no server is up), then refused.
+        for number in range(3):
+            client = balancer.connect(LOGIN % b"q%d" % number)
+            client.settimeout(1)
+            assert read_all(client) == b"BUSY\r\n"
+            time.sleep(0.3)
+        assert first.process.poll() is None
+        assert log_in(held, b"c1") == b"BUSY\r\n" and first.end()[0] == 0
+        assert "exception" not in first.log
+        queued = balancer.connect(LOGIN % b"c2")
+        second = balancer.start_serving()
+        assert read_all(queued) == b"BUSY\r\n" and ends_well(second)
+
+
+def test_process_that_ends_yields_to_a_later_one_that_gets_ready_meanwhile(tmp_path):
+    with Succession(tmp_path, workloads=[LONG_WORKLOAD]) as balancer:
+        first = balancer.start_serving()
+        held = balancer.accepted()
+        second = balancer.start(point=START)
+        first.signal(signal.SIGTERM)
+        first.wait_for_log("told to stop")
+        second.go_on()
+        second.wait_for_log("process 2 of this balancer is serving")
+        assert log_in(balancer.accepted(), b"c1") == b"BUSY\r\n"
+        assert log_in(held, b"c2") == b"BUSY\r\n" and first.end()[0] == 0
+        assert ends_well(second) and "exception" not in first.log
+
+
 # The drivers of two processes, step by step
 
 
@@ -255,3 +295,36 @@
     second._poll()
     assert at_second.accepts and not at_first.accepts
     assert len([line for line in log if line.startswith("cannot write")]) == 1
+
+
+def test_a_process_asked_to_stop_accepts_until_a_later_one_is_ready(tmp_path):
+    first, at_first, _ = make_driver(tmp_path)
+    first._poll()
+    assert at_first.accepts
+    first.stop_requested()
+    first._poll()
+    assert at_first.accepts
+    second, at_second, _ = make_driver(tmp_path)
+    second._poll()  # ready, and waits for the first
+    assert at_first.accepts and not at_second.accepts
+    first._poll()
+    assert not at_first.accepts and not at_second.accepts
+    second._poll()
+    assert at_second.accepts
+    # The later one dies, and the first does not serve again.
+    second.leave()
+    first._poll()
+    assert not at_first.accepts and not at_second.accepts
+
+
+@pytest.mark.parametrize("serves", [False, True])
+def test_a_later_process_need_not_wait_for_one_that_has_left(tmp_path, serves):
+    first, at_first, _ = make_driver(tmp_path)
+    if serves:
+        first._poll()
+    first.stop_requested()
+    assert at_first.accepts is serves
+    first.leave()
+    second, at_second, _ = make_driver(tmp_path)
+    second._poll()
+    assert at_second.accepts and not at_first.accepts
