Logins are placed whatever weights the list states

What callers saw: a list in which two servers have a weight of 1e308 made every login meet a ZeroDivisionError and be answered FAILED, for as long as the list stood.

Cause: the sum of the weights was infinite, so that each server's part of the mean capacity was 0 in `LoadReports._update_aggregates`, and `normalised_count` divided by it. `_parse_entry` takes any finite weight.

Why this works: a server's relative capacity by weight stays between a millionth of and a million times the mean. The entry is not refused: a whole list with an unreadable entry is not applied, so that no drain would be heard for one untrue weight.

--- a/corklift/policy/load_reports.py
+++ b/corklift/policy/load_reports.py
@@ -19,6 +19,9 @@
 # A server's capacity is estimated as count / utilisation, from reports with at least this count and
 # more than this utilisation.
 MIN_COUNT_FOR_CAPACITY, MIN_UTILISATION_FOR_CAPACITY = 4, 0.04
+# No server counts as a larger multiple of the mean capacity, or as a smaller part of it, whatever
+# weights the list states.
+MAX_RELATIVE_CAPACITY = 1e6
 
 
 class LoadReports:
@@ -79,7 +82,10 @@
             if capacity is not None:
                 server.relative_capacity = capacity / self.mean_capacity
             elif server.weight > 0 and not self._weight_varies:
-                server.relative_capacity = server.weight / mean_weight
+                server.relative_capacity = min(
+                    MAX_RELATIVE_CAPACITY,
+                    max(1 / MAX_RELATIVE_CAPACITY, server.weight / mean_weight),
+                )
             if server.utilisation is not None and self.is_fresh(now, server):
                 load += server.utilisation * server.relative_capacity
                 total_capacity += server.relative_capacity
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -104,3 +104,27 @@
         )
     )
     assert math.isfinite(balancer._load_reports.mean_utilisation)
+
+
+# With two weights of 1e308 their sum was infinite and each server had no capacity: every login met
+# a ZeroDivisionError and was answered FAILED.
+@pytest.mark.parametrize(
+    "entry",
+    [{"weight": 1e308}, {"weight": 5e-324}, {"weight": -1e308}, {"group": 10**300}]
+    + [{"since_ms": 10**300}, {"since_ms": -(10**300)}, {"since_ms": 2**70}],
+    ids=lambda entry: str(entry)[:20],
+)
+@pytest.mark.parametrize("other_weight", [1.0, 1e21, 1e308])
+def test_logins_are_placed_whatever_numbers_the_list_states(entry, other_weight):
+    scene = Scene("up", "up", "up")
+    scene.run(300)
+    scene.change_list(
+        scene.list_entry("s1") | entry,
+        scene.list_entry("s2") | entry,
+        scene.list_entry("s3") | {"weight": other_weight},
+    )
+    scene.run(1000)
+    clients = [ScriptedClient(scene, f"c{number}") for number in range(10)]
+    scene.run(1000)
+    assert not scene.counters["exceptions"]
+    assert all(client.receive().startswith(b"UP ") for client in clients)
