A reload opens all of its changed sockets or none

What callers saw: a file with a new `listen` and an `admin_addr` that is taken was refused, and the error named `listen`; but the old listening socket was closed once its queue was empty, and the new one was open.

Cause: `BalancerProcess.reload` handed the first socket to the relay before it opened the second one.

Why this works: both sockets are opened first, and closed again where one can't be had; the error names the key.

--- a/corklift/net/admin.py
+++ b/corklift/net/admin.py
@@ -156,8 +156,11 @@
         self._connections: dict[Stream, Task] = {}  # oldest first
 
     def listen(self, address: tuple[str, int]) -> int:
-        """Opens the listening socket, in place of an earlier one; returns its port."""
-        sock = listening_socket(address)
+        """Opens the listening socket; returns its port."""
+        return self.listen_on(listening_socket(address))
+
+    def listen_on(self, sock: socket.socket) -> int:
+        """Accepts from a listening socket, in place of an earlier one; returns its port."""
         old, self._listener = self._listener, sock
         if self._acceptor is not None:
             self._scheduler.interrupt(self._acceptor, Gone())
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -122,7 +122,11 @@
         Called before the other components start, so that connects in the meantime are queued and
         not refused.
         """
-        return self._add_listener(listening_socket(address))
+        return self.listen_on(listening_socket(address))
+
+    def listen_on(self, sock: socket.socket) -> int:
+        """Accepts from a listening socket, in place of an earlier one; returns its port."""
+        return self._add_listener(sock)
 
     def listen_on_inherited_socket(self, sock: socket.socket) -> int:
         """Uses a listening socket shared with other processes; returns its port.
--- a/corklift/service.py
+++ b/corklift/service.py
@@ -22,6 +22,7 @@
 from corklift.early_signals import EarlySignals, ignore_signals
 from corklift.interface import Scope
 from corklift.net.admin import Admin, AdminHandler, format_stats
+from corklift.net.blocking import listening_socket
 from corklift.net.facade import Facade
 from corklift.net.handover_driver import HandoverDriver
 from corklift.net.handover_files import handover_directory
@@ -224,14 +225,10 @@
                 raise ConfigError(
                     f"config: {missing_key} is missing, which the configuration in force has"
                 )
-            if new.listen != old.listen and not self._stopping and not self._inherits_socket:
-                self.port = self.relay.listen(new.listen)
-            if new.admin != old.admin and new.admin is not None:
-                self.admin_port = self.admin.listen(new.admin)
-        except (ConfigError, OSError) as problem:
+            self._open_changed_sockets(old, new)
+        except ConfigError as problem:
             self.counters["configurations refused"] += 1
-            what = problem if isinstance(problem, ConfigError) else f"config: listen: {problem}"
-            self.log_writer.write(f"{what}; the old configuration stays in force", always=True)
+            self.log_writer.write(f"{problem}; the old configuration stays in force", always=True)
             return
         self._configuration, self.limits = new, new.limits
         self.log_writer.limits = new.limits
@@ -260,6 +257,27 @@
             f"configuration read anew, changed: {' '.join(changed) or 'nothing'}", always=True
         )
 
+    def _open_changed_sockets(self, old: Configuration, new: Configuration) -> None:
+        """Listens on the addresses that a new configuration changes: on all of them or on none.
+
+        Raises:
+            ConfigError: an address can't be listened on; the sockets are those of before.
+        """
+        sockets: dict[str, socket.socket] = {}
+        try:
+            if new.listen != old.listen and not self._stopping and not self._inherits_socket:
+                sockets["listen"] = _open_socket("listen", new.listen)
+            if new.admin != old.admin and new.admin is not None:
+                sockets["admin_addr"] = _open_socket("admin_addr", new.admin)
+        except ConfigError:
+            for sock in sockets.values():
+                sock.close()
+            raise
+        if "listen" in sockets:
+            self.port = self.relay.listen_on(sockets["listen"])
+        if "admin_addr" in sockets:
+            self.admin_port = self.admin.listen_on(sockets["admin_addr"])
+
     # Requests of the admin endpoints.
 
     def is_serving(self) -> bool:
@@ -389,6 +407,13 @@
                 self.log_writer.write_next()
 
 
+def _open_socket(key: str, address: tuple[str, int]) -> socket.socket:
+    try:
+        return listening_socket(address)
+    except OSError as problem:
+        raise ConfigError(f"config: {key}: {problem}") from None
+
+
 def run_balancer(early_signals: EarlySignals | None = None) -> int:
     """Runs the balancer configured by BALANCER_CONFIG; returns the exit status."""
     return run_process(
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,10 +1,11 @@
 """Tests of the operators' HTTP endpoint, of operator overrides and of reloads."""
 
 import json
+import socket
 from random import Random
 
 import pytest
-from harness import MS, BalancerHarness, PolicyHarness
+from harness import MS, BalancerHarness, PolicyHarness, reserve_port
 
 from corklift.interface import ColdRule, Outcome, Report, Scope, Status, Workload
 from corklift.net.parsers import HttpRequest, Malformed, MessageTooLongError
@@ -431,6 +432,28 @@
     assert any("c1 < UP" in line for line in harness.trace)
 
 
+# Where only the other address was taken, the file was refused, but its first address was in force.
+@pytest.mark.parametrize("taken", ["listen", "admin_addr"])
+def test_reload_with_an_address_that_is_taken_changes_no_socket(tmp_path, taken):
+    harness = AdminHarness("up")
+    harness.run(2000)
+    ports = (harness.process.port, harness.process.admin_port)
+    with reserve_port() as free, socket.create_server(("127.0.0.1", 0)) as used:
+        addresses = {key: f"127.0.0.1:{free.getsockname()[1]}" for key in ("listen", "admin_addr")}
+        addresses[taken] = f"127.0.0.1:{used.getsockname()[1]}"
+        harness.reload(tmp_path / "config", **addresses)
+        harness.run(200)
+        assert harness.counters["configurations refused"] == 1
+        assert any(f"config: {taken}: " in line for line in harness.trace)
+        assert ports == (harness.process.port, harness.process.admin_port)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(free.getsockname(), 5)
+    assert harness.ask(format_get("/admin/health"))[0] == 200
+    harness.client("c1", OPEN)
+    harness.run(100)
+    assert any("c1 < UP" in line for line in harness.trace)
+
+
 def test_reload_keeps_the_workload_of_pending_logins_and_limits_hand_offs_at_once(tmp_path):
     # A pending login keeps the effect that its workload had on arrival, although the reload changes
     # it. A new login with a removed workload is rejected at once.
