What is remembered for each group of clients is bounded

Clients name their group themselves. With subset probing each group ever seen left the order in which it tries the servers, one entry a server, until the list changed; bad clients with a new group in each line could fill the memory. Each group's last server was remembered for good, and all of them go into the state file of an upgrade, which is read up to 1 MiB: beyond that the next process ignores it, cordons included.

Cause: `WeightedDraw._server_orders` and `GroupHomes.last_homes` had no bound.

A state file with 30,000 groups of 64 bits has 1.3 MB and can't be read; the largest with 8,192 has 0.36 MB.

Why this works: orders are forgotten by halves, oldest first, beyond 200,000 entries; the order of a group depends on ids only and is the same when it is computed anew. Of the last servers those of the 4,096 to 8,192 groups with the latest connections are kept. What a forgotten group costs when it returns was not measured.

--- a/corklift/policy/balancer.py
+++ b/corklift/policy/balancer.py
@@ -430,7 +430,8 @@
                     int(excluded_until),
                 )
         for group, home in learned["homes"]:
-            self._groups.last_homes.setdefault(int(group), int(home))
+            if int(group) not in self._groups.last_homes:
+                self._groups.remember_home(int(group), int(home))
         for server_id, group in learned["open"]:
             if server_id in self._registry.servers:
                 self._groups.reserve(self._registry.servers[server_id], int(group))
--- a/corklift/policy/draw.py
+++ b/corklift/policy/draw.py
@@ -35,6 +35,8 @@
 # With up to this many cold servers whose admission is random, all combinations of admitted servers
 # are enumerated; with more, this many random combinations are sampled.
 MAX_ENUMERATED_SERVERS, SAMPLED_COMBINATIONS = 6, 2000
+# The remembered server orders of groups hold at most this many entries in all.
+MAX_ORDER_ENTRIES = 200_000
 
 
 class WeightedDraw:
@@ -268,7 +270,7 @@
             if own_zone_first:
                 order.sort(key=lambda s: s.zone != self._zone)
             if group:
-                self._server_orders[group, own_zone_first] = order
+                self._remember_order((group, own_zone_first), order)
             state.server_order = order
         tried = [attempt.server for attempt in state.attempts]
         candidates: list[Server] = []
@@ -299,6 +301,16 @@
                     break
         return candidates or fallback
 
+    def _remember_order(self, key: tuple[int, bool], order: list[Server]) -> None:
+        """Remembers a group's server order; forgets the older half of all orders if needed.
+
+        An order can be computed anew, and any client may name a group that is new.
+        """
+        self._server_orders[key] = order
+        count = len(self._server_orders)
+        if count > 1 and count * len(order) > MAX_ORDER_ENTRIES:
+            self._server_orders = dict(list(self._server_orders.items())[count // 2 :])
+
     def query_or_pick(
         self, now: int, state: LoginState, allowed: Callable[[Server], bool]
     ) -> tuple[list[Server], Server | None]:
--- a/corklift/policy/groups.py
+++ b/corklift/policy/groups.py
@@ -15,6 +15,9 @@
 MIN_USED_FRACTION = 0.5
 # The assumed number of groups; the estimate of a group's share starts from 1/EXPECTED_GROUPS.
 EXPECTED_GROUPS = 40
+# The groups whose last server is remembered: those with the latest new connections. Twice as many
+# may be held before the others are forgotten.
+MAX_REMEMBERED_HOMES = 4096
 
 
 class GroupHomes:
@@ -84,9 +87,16 @@
     def count_connection(self, state: LoginState, server: Server | None, sign: int) -> None:
         """Counts an opened (+1) or ended (-1) connection in its group."""
         if sign > 0 and server is not None and state.login.group:
-            self.last_homes[state.login.group] = server.id
+            self.remember_home(state.login.group, server.id)
         self._add_group_load(state.login.group, server, sign)
 
+    def remember_home(self, group: int, server_id: int) -> None:
+        """Remembers the server of the group's latest new connection."""
+        self.last_homes.pop(group, None)  # so that the groups are in the order of their latest one
+        self.last_homes[group] = server_id
+        if len(self.last_homes) > 2 * MAX_REMEMBERED_HOMES:
+            self.last_homes = dict(list(self.last_homes.items())[-MAX_REMEMBERED_HOMES:])
+
     def _add_group_load(self, group: int, server: Server | None, change: int) -> None:
         self.total_load += change
         for counts in (
