--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -54,6 +54,8 @@
     for outcome in ("xfailed", "xpassed"):
         for report in terminalreporter.stats.get(outcome, []):
             terminalreporter.write_line(f"known failure, {outcome}: {report.nodeid}")
+            if outcome == "xfailed":
+                terminalreporter.write_line(report.longreprtext)
             for title, text in report.sections:
                 if title.startswith("rig "):
                     terminalreporter.write_line(f"{title}\n{text}")
