serve: an override that comes with an older drain is stored before the reply

What callers saw: an uncordon ends a drain too, so that two facts are sent to the peers.

Cause: `Recovery.replicate_received` wrote no fact of a request if any of them was outdated.

Why this works: only the outdated fact is left out; the reply names it.

--- a/corklift/recovery/core.py
+++ b/corklift/recovery/core.py
@@ -635,8 +635,13 @@
                 if current is not None and current.rank > fact.rank:
                     newer.append(current)
         marker = self.peer_markers.get(request.sender, Marker())
+        outdated = {fact.key for fact in newer}
         written = (
-            *(fact for fact in request.facts if fact.kind in BINDING_SHARED and not newer),
+            *(
+                fact
+                for fact in request.facts
+                if fact.kind in BINDING_SHARED and fact.key not in outdated
+            ),
             Fact(
                 MARKER,
                 request.sender,
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -451,6 +451,26 @@
     ).requester_marker == Marker(b"b2", 4)
 
 
+# An override that came with an older drain was put on no disk of the peer, which answered that it
+# was: a 200 stood on fewer disks than it told.
+@pytest.mark.parametrize("known_first", [OUT, DRAIN, None])
+@pytest.mark.parametrize("order", [1, -1])
+def test_each_fact_that_is_not_older_is_stored_before_the_reply(known_first, order):
+    host, core = serving_host()
+    known = {OUT: override("s1", 9, True, "b3"), DRAIN: Fact(DRAIN, "s1", (7, 9), True, "b3")}
+    if known_first is not None:
+        core.facts.merge(known[known_first], Provenance.HEARD)
+    sent = [override("s1", 5, False, "b2"), Fact(DRAIN, "s1", (7, 3, 1), False, "b2")][::order]
+    replies = []
+    core.replicate_received(0, Replicate("b2", 2, Marker(b"b2", 4), tuple(sent)), replies.append)
+    stored = {fact.key: fact for _, facts in host.writes for fact in facts}
+    for fact in sent:
+        assert (stored.get(fact.key) == fact) is (fact.kind != known_first)
+    host.finish_writes()
+    newer = () if known_first is None else (known[known_first],)
+    assert replies == [ReplicateReply(True, newer, Marker(b"mine", 10))]
+
+
 def test_after_a_power_loss_servers_are_as_old_as_their_first_reply():
     host = Host(boot="two")
     core = host.load(boot="one")
