serve: every peer gets all facts of an override

What callers saw: an uncordon in a fleet of over nine balancers ended the drain that goes with it at the first eight peers only; the others got it with a later exchange of states.

Cause: `_send_replications` sent the first fact only to the peers beyond the limit of concurrent calls, and so did a repeated override.

Why this works: `_Replication` keeps all facts of its override.

--- a/corklift/recovery/core.py
+++ b/corklift/recovery/core.py
@@ -192,9 +192,9 @@
 
 @dataclass(slots=True)
 class _Replication:
-    """The replication of one fact to this store and to the peers."""
+    """The replication of an override to this store and to the peers."""
 
-    fact: Fact
+    facts: tuple[Fact, ...]  # the override, then what goes with it
     callback: Callable[[ReplicationOutcome, int, int], None]
     deadline: int
     persisted_here: bool | None = None  # whether it is in the local store; None: not known yet
@@ -203,6 +203,11 @@
     unsent: list[str] = field(default_factory=list)  # peers to which it is still to be sent
     finished: bool = False
 
+    @property
+    def fact(self) -> Fact:
+        """The override itself."""
+        return self.facts[0]
+
 
 class Recovery:
     """The recovery of one balancer: its phase, its facts and the admission of logins."""
@@ -709,7 +714,7 @@
         """Starts to replicate facts that belong to one override."""
         replication_id, self._next_id = self._next_id, self._next_id + 1
         replication = self._replications[replication_id] = _Replication(
-            facts[0], callback, now + int(self.config.replication_timeout * self.config.period)
+            tuple(facts), callback, now + int(self.config.replication_timeout * self.config.period)
         )
         replication.unsent = list(self._live_peers)
         self._rng.shuffle(replication.unsent)
@@ -719,11 +724,11 @@
             self._update_replication(now, replication_id)
 
         self._persist(tuple(facts), on_persisted)
-        self._send_replications(now, replication_id, facts)
+        self._send_replications(replication_id)
         self._update_replication(now, replication_id)
 
-    def _send_replications(self, now: int, replication_id: int, facts: list[Fact]) -> None:
-        """Sends facts to further peers, as far as the limit of concurrent calls allows."""
+    def _send_replications(self, replication_id: int) -> None:
+        """Sends the facts to further peers, as far as the limit of concurrent calls allows."""
         replication = self._replications[replication_id]
         while (
             replication.unsent
@@ -737,7 +742,10 @@
                 request_id,
                 name,
                 Replicate(
-                    self.name, self._instance_id, self._marker_for(name, present=True), tuple(facts)
+                    self.name,
+                    self._instance_id,
+                    self._marker_for(name, present=True),
+                    replication.facts,
                 ),
                 replication.deadline,
             )
@@ -778,11 +786,11 @@
             self.facts.merge(fact, Provenance.LIVE)
             self._apply_facts([fact])
             if not replication.finished:
-                self._replicate(now, [fact], replication.callback)
+                self._replicate(now, [fact, *replication.facts[1:]], replication.callback)
             return
         if reply is not None and reply.persisted:
             replication.persisted_by.add(name)
-        self._send_replications(now, replication_id, [replication.fact])
+        self._send_replications(replication_id)
         self._update_replication(now, replication_id)
 
     def _wanted_copies(self) -> int:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -471,6 +471,21 @@
     assert replies == [ReplicateReply(True, newer, Marker(b"mine", 10))]
 
 
+# Peers beyond the first calls got the override without the end of the drain that goes with it.
+def test_all_facts_of_an_override_are_sent_to_every_peer():
+    peers = [f"b{number}" for number in range(2, 30)]
+    host, core = serving_host(peers)
+    core.update_drain(0, "s1", 0, 10, True)
+    core.set_out_of_service(0, "s1", False, lambda *outcome: None)
+    host.finish_writes()
+    while host.replications:
+        number, name, message = host.replications.pop(0)
+        peers.remove(name)
+        assert [fact.kind for fact in message.facts] == [OUT, DRAIN]
+        core.replicate_reply_received(0, number, None)
+    assert not peers
+
+
 def test_after_a_power_loss_servers_are_as_old_as_their_first_reply():
     host = Host(boot="two")
     core = host.load(boot="one")
