serve: an override that a late reply outdates is stored and sent again

What callers saw: an override was answered 200, then a slower peer answered that it knows a newer one. The override was repeated above that, but in memory only: a loss of power brought the peer's override back.

Cause: `replicate_reply_received` replicated the repeated override only while its caller had no answer yet.

Evidence: the new test fails on the text before (nothing written) and passes now.

Why this works: it goes to this disk and to `copies` peers, as many as the answer told; the others get it with the exchange of states. Shown on the core alone; the emulator and real processes were not played for it.

--- a/corklift/recovery/core.py
+++ b/corklift/recovery/core.py
@@ -209,6 +209,10 @@
         return self.facts[0]
 
 
+def _ignore_outcome(outcome: ReplicationOutcome, copies: int, wanted: int) -> None:
+    """The callback of a replication whose caller has been answered."""
+
+
 class Recovery:
     """The recovery of one balancer: its phase, its facts and the admission of logins."""
 
@@ -708,15 +712,28 @@
         self._apply_facts(facts)
         self._replicate(now, facts, callback)
 
+    def _replicate_answered(self, now: int, facts: list[Fact]) -> None:
+        """Replicates an override whose caller has been answered, to as many disks as it was told.
+
+        Otherwise the answer would not hold after a loss of power. All other peers get the override
+        with the exchange of states.
+        """
+        peers = self._rng.sample(self._live_peers, min(self.config.copies, len(self._live_peers)))
+        self._replicate(now, facts, _ignore_outcome, peers)
+
     def _replicate(
-        self, now: int, facts: list[Fact], callback: Callable[[ReplicationOutcome, int, int], None]
+        self,
+        now: int,
+        facts: list[Fact],
+        callback: Callable[[ReplicationOutcome, int, int], None],
+        peers: list[str] | None = None,
     ) -> None:
-        """Starts to replicate facts that belong to one override."""
+        """Starts to replicate facts that belong to one override; to all live peers by default."""
         replication_id, self._next_id = self._next_id, self._next_id + 1
         replication = self._replications[replication_id] = _Replication(
             tuple(facts), callback, now + int(self.config.replication_timeout * self.config.period)
         )
-        replication.unsent = list(self._live_peers)
+        replication.unsent = list(self._live_peers if peers is None else peers)
         self._rng.shuffle(replication.unsent)
 
         def on_persisted(succeeded: bool) -> None:
@@ -785,8 +802,11 @@
             )
             self.facts.merge(fact, Provenance.LIVE)
             self._apply_facts([fact])
-            if not replication.finished:
-                self._replicate(now, [fact, *replication.facts[1:]], replication.callback)
+            facts = [fact, *replication.facts[1:]]
+            if replication.finished:
+                self._replicate_answered(now, facts)
+            else:
+                self._replicate(now, facts, replication.callback)
             return
         if reply is not None and reply.persisted:
             replication.persisted_by.add(name)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -471,6 +471,31 @@
     assert replies == [ReplicateReply(True, newer, Marker(b"mine", 10))]
 
 
+# The repeated override was in memory only where enough disks had answered before: a loss of power
+# brought the peer's override back, against one that was answered 200.
+def test_an_override_that_a_late_reply_outdates_is_stored_and_sent_again():
+    host, core = serving_host()
+    outcomes = []
+    core.set_out_of_service(0, "s1", False, lambda *outcome: outcomes.append(outcome))
+    host.finish_writes()
+    for number, _, _ in host.replications[:3]:
+        core.replicate_reply_received(0, number, ReplicateReply(True))
+    assert [outcome[0] for outcome in outcomes] == [ReplicationOutcome.KEPT]
+    late = host.replications[3][0]
+    host.replications.clear()
+    newer = ReplicateReply(True, (override("s1", 7, True, "b9"),))
+    core.replicate_reply_received(0, late, newer)
+    repeated = override("s1", 8, False)
+    assert [fact for _, facts in host.writes for fact in facts if fact.kind == OUT] == [repeated]
+    # One disk here and two others are those of the answer.
+    assert len({name for _, name, _ in host.replications}) == core.config.copies == 2
+    assert all(message.facts[0] == repeated for _, _, message in host.replications)
+    host.finish_writes()
+    for number, _, _ in host.replications:
+        core.replicate_reply_received(0, number, ReplicateReply(True))
+    assert len(outcomes) == 1 and not core._replications
+
+
 # Peers beyond the first calls got the override without the end of the drain that goes with it.
 def test_all_facts_of_an_override_are_sent_to_every_peer():
     peers = [f"b{number}" for number in range(2, 30)]
