Logins that waited for a cold server's report look at its budget again

Where only some servers are probed, a login looks at the cold servers' budgets, asks its candidates for reports, and is placed when they answer. Logins that wait at the same time were all placed on one cold server.

Cause: `WeightedDraw.query_or_pick` dropped the candidates that were no longer ready, but not those whose budget other logins had spent.

Why this works: `_still_candidates` applies the same test as the first selection each time a login goes on; without any candidate left they are selected anew.

--- a/corklift/policy/draw.py
+++ b/corklift/policy/draw.py
@@ -301,6 +301,18 @@
                     break
         return candidates or fallback
 
+    def _still_candidates(self, now: int, state: LoginState) -> list[Server]:
+        """Returns the login's candidates that it may still be sent to.
+
+        While it waited for reports, a server may have begun to drain, and other logins may have
+        spent a cold server's budget.
+        """
+        return [
+            server
+            for server in state.candidates
+            if server.ready and self._cold_budget.admits(now, server, state, self._rng)
+        ]
+
     def _remember_order(self, key: tuple[int, bool], order: list[Server]) -> None:
         """Remembers a group's server order; forgets the older half of all orders if needed.
 
@@ -328,12 +340,11 @@
         while True:
             # Round 0 queries a few of the homes, round 1 all of them, later rounds further servers.
             further = FIRST_QUERY_SIZE << state.query_round if state.query_round > 1 else 0
-            if further or not state.candidates:
-                state.candidates = self._ordered_candidates(
+            candidates = [] if further else self._still_candidates(now, state)
+            if not candidates:
+                state.candidates = candidates = self._ordered_candidates(
                     now, state, allowed, home_count + further
                 )
-            # A server may have begun to drain since the candidates were chosen.
-            candidates = [s for s in state.candidates if s.ready]
             homes = candidates[:home_count]
             state.home_sample = state.home_sample or self._rng.sample(
                 homes, min(len(homes), FIRST_QUERY_SIZE)
