--- a/corklift/policy/draw.py
+++ b/corklift/policy/draw.py
@@ -148,18 +148,20 @@
             combination_probability = (
                 prod(
                     admission[s] if admitted else 1.0 - admission[s]
-                    for s, admitted in zip(uncertain, combination)
+                    for s, admitted in zip(uncertain, combination, strict=True)
                 )
                 if enumerated
                 else 1.0 / SAMPLED_COMBINATIONS
             )
-            not_admitted = {s for s, admitted in zip(uncertain, combination) if not admitted}
+            not_admitted = {
+                s for s, admitted in zip(uncertain, combination, strict=True) if not admitted
+            }
             candidates, uniform = self._candidates(
                 now, state, [s for s in ready if admission[s] and s not in not_admitted]
             )
             weights = [1.0] * len(candidates) if uniform else self._weights(candidates)
             total_weight = sum(weights)
-            for server, weight in zip(candidates, weights):
+            for server, weight in zip(candidates, weights, strict=True):
                 probabilities[server] = (
                     probabilities.get(server, 0.0) + combination_probability * weight / total_weight
                 )
--- a/corklift/recovery/core.py
+++ b/corklift/recovery/core.py
@@ -521,7 +521,7 @@
         self._record_marker(reply.sender, reply.marker)
         changed = [
             fact
-            for fact, provenance in zip(reply.facts, reply.provenances)
+            for fact, provenance in zip(reply.facts, reply.provenances, strict=False)
             if fact.kind in SHARED
             and self.facts.merge(
                 fact,
--- a/corklift/service.py
+++ b/corklift/service.py
@@ -124,7 +124,7 @@
         )
         self._inherits_socket = bool(listen_fd)
         name = os.environ.get("BALANCER_NAME") or (
-            "%s:%d" % configuration.listen if configuration.listen[1] else ""
+            "{}:{}".format(*configuration.listen) if configuration.listen[1] else ""
         )
         directory = handover_directory(os.environ.get("TMPDIR"), name)
         self.handover = HandoverDriver(
--- a/corklift/settings.py
+++ b/corklift/settings.py
@@ -202,7 +202,7 @@
     return (
         {
             field: name
-            for field, name in zip(settings["report"]["fields"], field_names)
+            for field, name in zip(settings["report"]["fields"], field_names, strict=True)
             if name is not None
         }
         if field_names
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -264,12 +264,11 @@
     harness.process.relay._listeners[0].close()
     config = tmp_path / "config.json"
     listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-    told, stop = [], threading.Event()
     config.write_text(
         json.dumps(
             harness.config
             | {
-                "listen": "127.0.0.1:%d" % listener.getsockname()[1],
+                "listen": f"127.0.0.1:{listener.getsockname()[1]}",
                 "settings": harness.config["settings"] | {"rules": {"ramp-time-ns": 300 * MS}},
             }
         )
