Health is not good while discovery's list is over the limit

Cause: such an answer counted as any malformed one.

Evidence: the new test plays a limit that no answer keeps: health says 503 and the log tells both lengths, and 200 again when a list is taken.

Why this works: operators see it, and an upgrade does not take over with such a list.

--- a/corklift/net/monitoring.py
+++ b/corklift/net/monitoring.py
@@ -20,6 +20,7 @@
     STATS,
     HttpResponse,
     Malformed,
+    MessageTooLongError,
     format_http_get,
     parse_listing,
     parse_load_report,
@@ -239,6 +240,8 @@
         self._called_at = 0  # start of the latest call
         self._set_backoff(limits)
         self.has_answered = False  # whether discovery has answered since the start
+        # Whether the last answer exceeded `Limits.body`; changes of the list are unknown then.
+        self.list_too_long = False
         self._task: Task | None = None
 
     def _set_backoff(self, limits: Limits) -> None:
@@ -285,6 +288,7 @@
         while True:
             try:
                 self._fetch_update()
+                self.list_too_long = False
                 if self._failures:
                     self._log_writer.write(f"discovery answers again after {self._failures} calls")
                     self._failures = 0
@@ -299,6 +303,9 @@
                         f"discovery: {type(problem).__name__} {problem}, "
                         f"{self._failures} in a row; the known list stays in force"
                     )
+                if isinstance(problem, MessageTooLongError):
+                    self._counters["discovery answers over the limit"] += 1
+                    self.list_too_long = True
                 if isinstance(problem, Malformed):
                     self._index = None  # request the full list again
                 self._scheduler.sleep(self._delay_after(problem))
--- a/corklift/net/parsers.py
+++ b/corklift/net/parsers.py
@@ -350,7 +350,9 @@
             if not length.isdigit():
                 raise Malformed("length")
             if len(length) > 12 or int(length) > self._max_body_bytes:
-                raise MessageTooLongError("length")
+                raise MessageTooLongError(
+                    f"length {length[:12].decode()}, {self._max_body_bytes} bytes are taken"
+                )
             self._remaining = int(length)
         else:
             self._no_length_given()
--- a/corklift/service.py
+++ b/corklift/service.py
@@ -286,6 +286,7 @@
             self.relay.is_serving
             and self.handover.is_serving
             and self.may_serve()
+            and not self.watch.list_too_long
             and not self._stopping
         )
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,5 +1,6 @@
 """Tests of the operators' HTTP endpoint, of operator overrides and of reloads."""
 
+import dataclasses
 import json
 import socket
 from random import Random
@@ -432,6 +433,25 @@
     assert any("c1 < UP" in line for line in harness.trace)
 
 
+# A list over the limit was refused for good, so that no drain was heard, and health said yes.
+def test_health_is_not_good_while_the_list_is_too_long():
+    harness = AdminHarness("up")
+    harness.run(2000)
+    assert harness.ask(format_get("/admin/health"))[0] == 200
+    watch, limits = harness.process.watch, harness.limits
+    address = ("127.0.0.1", harness.discovery_listener.getsockname()[1])
+    watch.reconfigure(address, dataclasses.replace(limits, body=20))
+    for _ in range(2):  # the call that waits has the limit of before
+        harness.change_list(harness.list_entry("s1"))
+        harness.run(1500)
+    assert harness.counters["discovery answers over the limit"] > 1
+    assert any("20 bytes are taken" in line for line in harness.trace)
+    assert harness.ask(format_get("/admin/health"))[0] == 503
+    watch.reconfigure(address, limits)
+    harness.run(4000)
+    assert harness.ask(format_get("/admin/health"))[0] == 200
+
+
 # Where only the other address was taken, the file was refused, but its first address was in force.
 @pytest.mark.parametrize("taken", ["listen", "admin_addr"])
 def test_reload_with_an_address_that_is_taken_changes_no_socket(tmp_path, taken):
