Servers are ordered by the numbers in their names again

Cause: groups go to servers in an order that follows from the ids.

Why this works: an id now is a hash of the name over the number in it. The order goes by the low 64 bits, which are those of before; the whole id still tells servers apart whose names share a number. The new test compares the order of groups with that by plain numbers.

--- a/corklift/net/parsers.py
+++ b/corklift/net/parsers.py
@@ -78,9 +78,11 @@
     """Returns the id of a server.
 
     It depends on the name alone, so that it is the same at every balancer and in every process, and
-    two servers never share one.
+    hashes the whole name, so that servers whose names share a number do not share an id. The low 64
+    bits, by which the decisions order servers, are the number of a hexadecimal name.
     """
-    return hashed_id(name)
+    name_hash, number = hashed_id(name), numbered_id(name)
+    return name_hash if number is None else name_hash >> 16 << 64 | number
 
 
 def is_unicode(text: str) -> bool:
--- a/tests/test_server_names.py
+++ b/tests/test_server_names.py
@@ -9,9 +9,10 @@
 from harness import MS, BalancerHarness
 
 from corklift.handover import ProcessState, Stage, decode, encode
-from corklift.interface import Login, Scope, Status
+from corklift.interface import ListedServer, Login, Scope, Status
 from corklift.net.parsers import Listing, ServerEntry, numbered_id, server_id
-from corklift.records import Attempt, LoginState
+from corklift.policy.groups import group_rank
+from corklift.records import Attempt, LoginState, Server
 
 FIRST, SECOND = "atlanta-20260001", "nashville-20260001"
 BOTH = (FIRST, SECOND)
@@ -77,6 +78,19 @@
     assert len({server_id(name) for name in names} - {0}) == len(names)
 
 
+# Larger fleets' figures of a day depend on which groups meet at which servers.
+def test_order_of_servers_is_that_of_their_numbers_as_before():
+    numbers = [0x5BE2A07C, 0x1F, 0x2E, 0x3D, 0xFFFFFFFF, 0x20260001]
+    servers = [
+        Server(ListedServer(server_id(f"s-{number:08x}"), 0, 0, 0, Status.READY, 1.0, 0), 0)
+        for number in numbers
+    ]
+    former = [Server(ListedServer(n, 0, 0, 0, Status.READY, 1.0, 0), 0) for n in numbers]
+    for group in (1, 77, 0x7F3A9C21E0B4D655):
+        ranks = [group_rank(group, server) for server in servers]
+        assert ranks == [group_rank(group, server) for server in former]
+
+
 def test_learned_state_of_a_process_with_the_former_ids_is_taken_over():
     old_ids = {numbered_id(name): name for name in ("s-5be2a07c", "s-0000001f")}
     learned = {
