Review: the scripts keep their ports, and a signal from outside ends a play

Cause: one of three plays of case 6 beside another case could not be played (exit 2); its output was not kept. Supposed: a free port that was picked and closed, or that of a server that is down, was given to a connect meanwhile. Change: each port stays bound by a socket that doesn't listen; SIGTERM and SIGINT end the play and all that it has started, with exit 2. Measured: the text before, six more plays of case 6, three at a time: none gave exit 2, so the cause is not shown. Case 9 with a SIGTERM after 6 s: exit 2, no balancer of it left.

--- a/review/play.py
+++ b/review/play.py
@@ -109,6 +109,21 @@
     } | changes
 
 
+# The ports of a play. A socket that is bound to a port and does not listen keeps the system from
+# giving that port to a connect; a process that sets SO_REUSEADDR, as the balancers and the servers
+# here do, can listen on it all the same, also again after its end.
+_reserved: list[socket.socket] = []
+
+
+def free_port() -> int:
+    """Returns a port of loopback that nobody else gets while this process lives."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    _reserved.append(sock)
+    return int(sock.getsockname()[1])
+
+
 class Server:
     """A server: answers probes, logins and the lines of its connections; one line of record each.
 
@@ -128,8 +143,12 @@
         self.address = ""
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=1024)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        self.address = f"127.0.0.1:{free_port()}"
+        await self._listen()
+
+    async def _listen(self) -> None:
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port), backlog=1024)
 
     def die(self) -> None:
         """Ends as a process that dies: resets its connections; new ones are refused."""
@@ -141,8 +160,7 @@
 
     async def come_back(self) -> None:
         """Starts again at the same address."""
-        host, port = self.address.split(":")
-        self._server = await asyncio.start_server(self._serve, host, int(port), backlog=1024)
+        await self._listen()
         self._record.write(f"server {self.name} starts")
 
     def entry(self, status: str = "active", since_ms: int = 0) -> dict[str, Any]:
@@ -279,12 +297,6 @@
             writer.close()
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 class Balancer:
     """One balancer process, started by the command of the deploy file."""
 
@@ -502,9 +514,13 @@
         with tempfile.TemporaryDirectory() as temporary:
             this = Play(folder, Path(temporary))
             this.record.write(f"TROUBLE={int(TROUBLE)}")
+            task = asyncio.current_task()
+            assert task is not None
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(number, task.cancel)
             try:
                 breaks = await asyncio.wait_for(run(this), seconds)
-            except Exception as problem:
+            except (Exception, asyncio.CancelledError) as problem:
                 this.record.write(f"could not be played: {problem!r}")
                 print(f"could not be played: {problem!r}")
                 return NOT_RUN
