A connection's name is reserved for its time whatever number of names follow

Cause: `Relay._recent_names` was bounded by number alone and forgot the oldest name, whatever time it had left.

Why this works: names are in a hash table of fixed size with 16 bytes a name.

--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -19,6 +19,8 @@
 SECOND = 1_000 * MS
 # Standard streams, listener, signal socket pair, and some that the interpreter opens.
 RESERVED_DESCRIPTORS = 8
+# Share of the memory for the table of connection names.
+NAME_TABLE_SHARE = 1 / 64
 # The system counts descriptors in 31 bits ...
 MAX_DESCRIPTORS = (1 << 31) - 1
 # ... and addresses in 64, of which a process has 47.
@@ -77,6 +79,8 @@
     # How long a connection's name stays reserved after the connection ends, or after its last
     # misuse.
     name_time: int = 3 * SECOND
+    # Bytes of the table of the connection names that are in use or reserved.
+    name_table: int = 1 << 20
     # How long a rejected client has, after its answer, to close the connection itself ...
     turned_away_time: int = 100 * MS
     # ... and how many bytes from it are still read during that time.
@@ -213,6 +217,7 @@
             stop_time=min(time_limit, 3 * SECOND) + 400 * MS,
             **_list_times(ask_within, ask_for_list),
             body=min(cls.body, int(memory * (1 << 20)) // 64),
+            name_table=min(cls.name_table, int(memory * (1 << 20) * NAME_TABLE_SHARE)),
         )
 
 
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -14,6 +14,7 @@
 
 from corklift.interface import Outcome
 from corklift.net.blocking import drain_and_close, listening_socket
+from corklift.net.connection_names import ConnectionNames
 from corklift.net.facade import Facade, HandOffTarget, LoginHandle, Rejection
 from corklift.net.limits import MS, Counters, Limits
 from corklift.net.parsers import (
@@ -86,11 +87,8 @@
         self._acceptor: Task | None = None
         self.ready = False  # whether PING is answered
         self._pending = PendingClients()  # clients without an admitted login
-        # Connection names of the clients that are connected to a server or being handed off.
-        self._active_names: set[str] = set()
-        # Connection names of former clients, oldest first, each with the time until which it is
-        # remembered.
-        self._recent_names: dict[str, int] = {}
+        # Of the clients that are connected to a server or being handed off, and of former ones.
+        self.names = ConnectionNames(self._now, limits.name_time, limits.name_table)
         self._connections: dict[int, LoginHandle] = {}
         self._rejecting_logins = False
         self._accepting = True  # if False, clients stay in the queue of the listening socket
@@ -112,7 +110,7 @@
     @property
     def client_count(self) -> int:
         """Clients that are connected to a server or being handed off."""
-        return len(self._active_names)
+        return self.names.count
 
     # Accepting clients
 
@@ -280,49 +278,28 @@
                 # A reload has removed the workload; its statistics are still reported.
                 self._counters.count_answer("failed", request.workload)
             raise Malformed("unknown workload")
-        if (
-            request.connection_name in self._active_names
-            or self._recent_names.get(request.connection_name, 0) > self._now()
-        ):
-            # Every connection must have a new name. Servers reject a duplicate, and that failure
-            # would count against the server and the client that owns the name. Each misuse extends
-            # the time for which the name is remembered.
-            if request.connection_name in self._recent_names:
-                self._remember_name(request.connection_name)
+        if not self.names.claim(request.connection_name):
             raise Malformed("name in use")
         if request.previous_server:
             self._counters["standing connections in"] += 1
         else:
             self._counters["logins in"] += 1
-        if len(self._active_names) + self.clients_elsewhere >= self._limits.clients or (
+        if self.client_count + self.clients_elsewhere > self._limits.clients or (
             self._rejecting_logins and not request.previous_server
         ):
+            self.names.withdraw(request.connection_name)
             self._counters["logins bounced without room"] += 1
             self._counters.count_answer("refused", request.workload)
             self._reject(client, BUSY)
             return
         self._pending.remove(client)
-        self._active_names.add(request.connection_name)
         try:
             if request.previous_server:
                 self._restore_connection(client, request)
             else:
                 self._place_login(client, request)
         finally:
-            self._active_names.discard(request.connection_name)
-            self._remember_name(request.connection_name)
-
-    def _remember_name(self, name: str) -> None:
-        """Remembers the connection name of a former client; bounded in time and in number."""
-        self._recent_names.pop(name, None)
-        self._recent_names[name] = self._now() + self._limits.name_time
-        oldest = next(iter(self._recent_names))
-        while (
-            len(self._recent_names) > 4 * self._limits.clients
-            or self._recent_names[oldest] <= self._now()
-        ):
-            del self._recent_names[oldest]
-            oldest = next(iter(self._recent_names))
+            self.names.release(request.connection_name)
 
     def _place_login(self, client: Stream, request: LoginRequest) -> None:
         if (
@@ -743,7 +720,7 @@
         move_time, max_count = limits.time_to_move_connections(accept_time), 0
         is_ending = False
         while self._now() < stop_at:
-            if not (self._active_names or self._pending) and self._accept_last_clients():
+            if not (self.client_count or self._pending) and self._accept_last_clients():
                 if not self._pending:
                     return
             if self._now() >= answer_at:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -208,7 +208,7 @@
             )
             harness.run(rng.randrange(150))
             # Includes clients whose connections are just being closed.
-            client_count = len(harness.process.relay._active_names)
+            client_count = harness.process.relay.client_count
             assert client_count - 6 <= harness.process.relay.in_flight <= client_count
         harness.run(4000)
         stats, answers = (
