No name of a connection is served twice during an upgrade

Cause: each process knew the names of its own connections only.

Why this works: each process keeps its names in a file that the others map. It enters a name there before it reads theirs, so that of two claims at the same moment at least one sees the other. Nobody waits for a lock, also where the other process is stopped. The new process serves only once the old one has yielded, and finds its names by then.

--- a/corklift/net/handover_driver.py
+++ b/corklift/net/handover_driver.py
@@ -80,6 +80,9 @@
             return
         running, ended = self._files.read_others()
         self._merge_overrides(running + ended)
+        if self._socket_shared:
+            self._share_names()
+            self._read_names(running, ended)
         self._write_state()
         self._files.remove_files(ended)
 
@@ -145,6 +148,27 @@
                 self._log(f"operator overrides will be lost at the end of this process: {problem}")
         return self._files is not None
 
+    def _share_names(self) -> None:
+        """Lets the other processes read this one's connection names, before it says that it runs.
+
+        So a later process, which serves only once this one has yielded, finds them.
+        """
+        assert self._files is not None
+        try:
+            with self._files.create_name_table() as file:
+                self._relay.names.share(file.fileno())
+        except OSError as problem:
+            self._counters["files that can't be written"] += 1
+            self._log(f"other processes of this balancer can't see its connection names: {problem}")
+
+    def _read_names(self, running: list[ProcessState], ended: list[ProcessState]) -> None:
+        assert self._files is not None
+        self._relay.names.other_processes(
+            [state.generation for state in running],
+            [state.generation for state in ended],
+            self._files.open_name_table,
+        )
+
     def _record_override(self, name: str, out_of_service: bool) -> None:
         if self._ensure_files():
             self._handover.record_override(name, out_of_service)
@@ -195,6 +219,7 @@
             self._facade.other_processes_ended()
         self._others_running = bool(running)
         self._merge_overrides(running + ended)
+        self._read_names(running, [])
         self._relay.clients_elsewhere = sum(state.client_count for state in running)
         for state in running + ended if self._handover.stage is Stage.SERVING else []:
             self._apply_ended_connections(state)
--- a/corklift/net/handover_files.py
+++ b/corklift/net/handover_files.py
@@ -1,7 +1,8 @@
 """The state files through which the processes of one balancer exchange state during an upgrade.
 
-They are in a directory that outlives the processes. Each process owns two files there, named by its
-generation N: `N.lock`, which it keeps locked while it runs, and `N.life`, its state. A state file
+They are in a directory that outlives the processes. Each process owns three files there, named by
+its generation N: `N.lock`, which it keeps locked while it runs; `N.life`, its state; and `N.names`,
+its table of connection names, which others read without a lock. A state file
 has a few hundred bytes; it is written to a temporary file and renamed, so that readers never see a
 part of it. A file with unreadable content is logged and ignored. Files of a running process are
 never removed by another one.
@@ -13,6 +14,7 @@
 import os
 import re
 from collections.abc import Callable
+from typing import BinaryIO
 
 from corklift.handover import ProcessState, UnreadableStateError, decode, encode
 
@@ -72,6 +74,22 @@
             file.write(encode(state))
         os.rename(temporary_path, self._file_path("life"))
 
+    def create_name_table(self) -> BinaryIO:
+        """Creates the file of this process's table of connection names.
+
+        Raises:
+            OSError: it can't be created.
+        """
+        return open(self._file_path("names"), "x+b")
+
+    def open_name_table(self, generation: int) -> int:
+        """Opens the file of another process's connection names; returns its descriptor.
+
+        Raises:
+            OSError: there is no such file.
+        """
+        return os.open(self._file_path("names", generation), os.O_RDONLY)
+
     def has_changed(self) -> bool:
         """Whether any process has written since the last call."""
         mtime = os.stat(self._path).st_mtime_ns
@@ -95,7 +113,7 @@
         Call it only once this process has written a state that includes theirs.
         """
         for state in ended:
-            for kind in ("life", "new", "lock"):
+            for kind in ("life", "new", "names", "lock"):
                 try:
                     os.unlink(self._file_path(kind, state.generation))
                 except OSError:
--- a/tests/test_crossings_succession.py
+++ b/tests/test_crossings_succession.py
@@ -16,8 +16,9 @@
 from harness import MS
 from real_process import CONFIG, LOGIN, WORKLOAD, RealProcess, read_all
 
+from corklift.net.connection_names import ConnectionNames
 from corklift.net.handover_driver import HandoverDriver
-from corklift.net.limits import Counters
+from corklift.net.limits import Counters, Limits
 
 # With this one, a process takes up to 3.4 s to end.
 LONG_WORKLOAD = WORKLOAD | {"time-limit-ns": 3_000 * MS}
@@ -243,6 +244,7 @@
     def __init__(self) -> None:
         self.ready, self.accepts, self.on_standby, self.client_count = True, False, False, 0
         self.clients_elsewhere = 0
+        self.names = ConnectionNames(lambda: 1, Limits.name_time, Limits.name_table)
 
     def set_accepting(self, accepting):
         self.accepts = accepting
