Ring buffers take memory only while they hold something, within a bound

Cause: each connection kept four buffers of 8 KB from its start to its end. They were to fit into half of the memory, but the program takes 21 MB.

Why this works: an empty buffer has no memory, and those that hold something are bounded by an eighth of the memory. Beyond it the connection whose buffer has held something for longest is given up.

--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -19,6 +19,10 @@
 SECOND = 1_000 * MS
 # Standard streams, listener, signal socket pair, and some that the interpreter opens.
 RESERVED_DESCRIPTORS = 8
+# Share of the memory for the ring buffers of clients and their servers.
+BUFFER_SHARE = 1 / 8
+# Memory of a relayed client with full buffers, a greenlet, and the decisions' records of it.
+CLIENT_BYTES = 64 * 1024
 # Share of the memory for the table of connection names.
 NAME_TABLE_SHARE = 1 / 64
 # The system counts descriptors in 31 bits ...
@@ -70,6 +74,8 @@
     line: int = 4096
     # Bytes of a ring buffer; it must hold at least two lines.
     ring: int = 8192
+    # Maximum bytes of the ring buffers of all clients and their servers that hold something.
+    buffers: int = 64 << 20
     # Maximum bytes of an answer of discovery; parsing takes about ten times as much memory.
     body: int = 4 << 20
     # Time from a client's connect, or from its first PONG, to the end of its first line.
@@ -198,8 +204,8 @@
         remaining = (
             sockets - RESERVED_DESCRIPTORS - probes - waiting - 2 - (calls + 1 if operated else 0)
         )
-        # A relayed client needs four ring buffers and a greenlet; half of the memory is for these.
-        clients_by_memory = int(memory * (1 << 20) / 2) // (5 * cls.ring + 24 * 1024)
+        # Half of the memory is for relayed clients.
+        clients_by_memory = int(memory * (1 << 20) / 2) // CLIENT_BYTES
         clients = min(remaining // 2, clients_by_memory)
         if sockets < 1 or clients < 1:
             raise ConfigError(
@@ -217,6 +223,7 @@
             stop_time=min(time_limit, 3 * SECOND) + 400 * MS,
             **_list_times(ask_within, ask_for_list),
             body=min(cls.body, int(memory * (1 << 20)) // 64),
+            buffers=int(memory * (1 << 20) * BUFFER_SHARE),
             name_table=min(cls.name_table, int(memory * (1 << 20) * NAME_TABLE_SHARE)),
         )
 
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -34,7 +34,7 @@
 )
 from corklift.net.pending import PendingClients, UnreadClose
 from corklift.net.scheduler import ERROR_EVENTS, READ, READ_CLOSED, WRITE, Scheduler, Task
-from corklift.net.stream import LineTooLongError, Stream
+from corklift.net.stream import BufferPool, LineTooLongError, Stream
 
 # Server lines that end a hand-off without a connection.
 OUTCOME_BEFORE_UP = {"BUSY": Outcome.FULL, "ERR": Outcome.ERROR, "MOVE": Outcome.CANCELLED}
@@ -86,6 +86,7 @@
         self._listeners: list[socket.socket] = []
         self._acceptor: Task | None = None
         self.ready = False  # whether PING is answered
+        self._buffers = BufferPool(limits.buffers, counters)
         self._pending = PendingClients()  # clients without an admitted login
         # Of the clients that are connected to a server or being handed off, and of former ones.
         self.names = ConnectionNames(self._now, limits.name_time, limits.name_table)
@@ -152,6 +153,7 @@
         Existing clients stay. While they exceed the new limits, no further ones are admitted.
         """
         self._limits = limits
+        self._buffers.max_bytes = limits.buffers
 
     def accept_loop(self) -> None:
         """Accepts clients for the lifetime of the process."""
@@ -194,7 +196,7 @@
                 self._scheduler.sleep(20 * MS)
                 break
             self._counters["clients in"] += 1
-            client = Stream(sock, self._limits)
+            client = Stream(sock, self._limits, self._buffers)
             task = self._scheduler.spawn(self._serve_client, client)
             self._pending.add(client, task, self._now())
         return False
@@ -409,7 +411,8 @@
         handle: LoginHandle | None = None,
     ) -> HandOffResult:
         try:
-            server = Stream.connect(target.address, self._limits)
+            # A client that reads nothing fills the buffers of its server's stream, too.
+            server = Stream.connect(target.address, self._limits, self._buffers, owner=client)
         except OSError:
             # No descriptor or memory for the socket. The login still gets an answer.
             self._counters["no descriptor for a server"] += 1
--- a/corklift/net/stream.py
+++ b/corklift/net/stream.py
@@ -9,6 +9,7 @@
 import errno
 import socket
 import struct
+from collections import Counter
 from typing import Protocol
 
 # SO_LINGER, switched on with a time of 0 s: close() sends a reset.
@@ -28,11 +29,49 @@
     """A received line exceeds the limit."""
 
 
+class BufferPool:
+    """Bounds the memory of ring buffers.
+
+    Beyond the limit, the connection whose buffer has held something for the longest time is given
+    up. Where both sides read what they are sent, buffers are empty most of the time.
+    """
+
+    def __init__(self, max_bytes: int, counters: Counter[str]) -> None:
+        self.max_bytes, self._counters = max_bytes, counters
+        self._bytes = 0
+        # The buffers that hold something, the oldest first, each with the stream to give up.
+        self._owners: dict[RingBuffer, Stream] = {}
+
+    def add(self, buffer: RingBuffer, owner: Stream) -> None:
+        """Called when a buffer has taken memory; may give up the connections of other owners."""
+        self._owners[buffer] = owner
+        self._bytes += buffer.size
+        while self._bytes > self.max_bytes:
+            oldest = next(iter(self._owners.values()))
+            if oldest is owner:
+                break
+            self._give_up(oldest)
+
+    def _give_up(self, owner: Stream) -> None:
+        if not owner.broken:
+            self._counters["connections given up for memory"] += 1
+        owner.give_up()
+        for buffer in [buffer for buffer, found in self._owners.items() if found is owner]:
+            buffer.discard(len(buffer))
+
+    def remove(self, buffer: RingBuffer) -> None:
+        """Called when a buffer has given its memory back."""
+        del self._owners[buffer]
+        self._bytes -= buffer.size
+
+
 class RingBuffer:
-    """A FIFO byte buffer of fixed size, allocated on first use."""
+    """A FIFO byte buffer of fixed size, which takes memory only while it holds something."""
 
-    def __init__(self, size: int) -> None:
-        self._size = size
+    def __init__(self, size: int, pool: BufferPool | None = None, owner: Stream | None = None):
+        """Creates a buffer; its memory is counted in the pool, if there is one."""
+        self.size = size
+        self._pool, self._owner = pool, owner if pool is not None else None
         self._bytes = bytearray()
         self._start = self._length = 0
 
@@ -41,27 +80,46 @@
 
     @property
     def free_bytes(self) -> int:
-        return self._size - self._length
+        return self.size - self._length
 
     def writable_view(self) -> memoryview:
-        """Returns the next contiguous free region. Call `mark_written` after writing to it."""
+        """Returns the next contiguous free region.
+
+        Call `mark_written` after writing to it, also if nothing was written.
+        """
         if not self._bytes:
-            self._bytes = bytearray(self._size)
-        end = (self._start + self._length) % self._size
+            self._bytes = bytearray(self.size)
+            if self._pool is not None and self._owner is not None:
+                self._pool.add(self, self._owner)
+        end = (self._start + self._length) % self.size
         return memoryview(self._bytes)[
-            end : self._size if end >= self._start or not self._length else self._start
+            end : self.size if end >= self._start or not self._length else self._start
         ][: self.free_bytes]
 
     def mark_written(self, count: int) -> None:
         self._length += count
+        self._release_if_empty()
 
     def readable_view(self) -> memoryview:
         """Returns the first contiguous region of stored bytes."""
-        return memoryview(self._bytes)[self._start : min(self._size, self._start + self._length)]
+        return memoryview(self._bytes)[self._start : min(self.size, self._start + self._length)]
 
     def discard(self, count: int) -> None:
         self._length -= count
-        self._start = (self._start + count) % self._size if self._length else 0
+        self._start = (self._start + count) % self.size if self._length else 0
+        self._release_if_empty()
+
+    def leave_pool(self) -> None:
+        """Takes the buffer out of the pool, at the end of its stream."""
+        if self._pool is not None and self._bytes:
+            self._pool.remove(self)
+        self._pool = self._owner = None  # the owner refers to this buffer
+
+    def _release_if_empty(self) -> None:
+        if not self._length and self._bytes:
+            self._bytes = bytearray()
+            if self._pool is not None:
+                self._pool.remove(self)
 
     def append(self, content: bytes) -> None:
         if len(content) > self.free_bytes:
@@ -85,15 +143,15 @@
 
     def line_length(self) -> int:
         """Returns the length of the first complete line with its line end; 0 if there is none."""
-        end = min(self._size, self._start + self._length)
+        end = min(self.size, self._start + self._length)
         found = self._bytes.find(b"\n", self._start, end)
         if found >= 0:
             return found + 1 - self._start
-        wrapped = self._start + self._length - self._size
+        wrapped = self._start + self._length - self.size
         if wrapped > 0:
             found = self._bytes.find(b"\n", 0, wrapped)
             if found >= 0:
-                return self._size - self._start + found + 1
+                return self.size - self._start + found + 1
         return 0
 
 
@@ -102,12 +160,28 @@
 
     open_count = 0  # open streams in this process
 
-    def __init__(self, sock: socket.socket, limits: StreamLimits) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        limits: StreamLimits,
+        pool: BufferPool | None = None,
+        owner: Stream | None = None,
+    ) -> None:
+        """Creates a stream on a socket.
+
+        Args:
+            sock: the socket; closed with the stream.
+            limits: the sizes of lines and buffers.
+            pool: where the memory of the buffers is counted; None if it is bounded otherwise.
+            owner: the stream to give up if these buffers hold something for too long; by default
+                this one.
+        """
         sock.setblocking(False)
         self._sock = sock
         self.fd = sock.fileno()
         self._max_line = limits.line
-        self.receive_buffer, self.send_buffer = RingBuffer(limits.ring), RingBuffer(limits.ring)
+        self.receive_buffer = RingBuffer(limits.ring, pool, owner or self)
+        self.send_buffer = RingBuffer(limits.ring, pool, owner or self)
         self.peer_closed = False  # the peer has closed its sending side
         self.broken = False  # the connection was reset or a write failed
         self.closed = False
@@ -118,10 +192,16 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     @classmethod
-    def connect(cls, address: tuple[str, int], limits: StreamLimits) -> Stream:
+    def connect(
+        cls,
+        address: tuple[str, int],
+        limits: StreamLimits,
+        pool: BufferPool | None = None,
+        owner: Stream | None = None,
+    ) -> Stream:
         """Starts a connect. Once the socket is writable, `connect_failed` returns the result."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stream = cls(sock, limits)
+        stream = cls(sock, limits, pool, owner)
         stream._remote_address = address
         code = sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
@@ -148,22 +228,28 @@
         received = 0
         while self.receive_buffer.free_bytes and not self.peer_closed and not self.broken:
             view = self.receive_buffer.writable_view()
-            try:
-                count = self._sock.recv_into(view)
-            except (BlockingIOError, InterruptedError):
-                break
-            except OSError:
-                self.broken = True
-                break
+            count = self._receive_into(view)
+            self.receive_buffer.mark_written(count)
             if not count:
-                self.peer_closed = True
                 break
-            self.receive_buffer.mark_written(count)
             received += count
             if count < len(view):
                 break
         return received
 
+    def _receive_into(self, view: memoryview) -> int:
+        """Reads what has arrived; returns 0 at an end, an error, or if there is nothing."""
+        try:
+            count = self._sock.recv_into(view)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError:
+            self.broken = True
+            return 0
+        if not count:
+            self.peer_closed = True
+        return count
+
     def read_line(self) -> bytes | None:
         """Removes and returns the first complete line with its line end; None if there is none."""
         length = self.receive_buffer.line_length()
@@ -197,11 +283,21 @@
             except OSError:
                 self.broken = True
 
+    def give_up(self) -> None:
+        """Breaks the connection; its task finds it broken."""
+        self.broken = True
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)  # wakes the task that waits for the socket
+        except OSError:
+            pass
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
             Stream.open_count -= 1
             self._sock.close()
+            self.receive_buffer.leave_pool()
+            self.send_buffer.leave_pool()
 
     def abort(self) -> None:
         """Closes the connection with a reset."""
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -186,8 +186,8 @@
     """Calls the action with the stream of each connect to `s1`, before it is polled."""
     real = Stream.connect.__func__
 
-    def connect(cls, address, limits):
-        stream = real(cls, address, limits)
+    def connect(cls, address, limits, *rest, **options):
+        stream = real(cls, address, limits, *rest, **options)
         if address[1] == scene.ports["s1"]:
             action(stream)
         return stream
--- a/tests/line_server.py
+++ b/tests/line_server.py
@@ -8,13 +8,20 @@
 import threading
 
 
+def shrink_buffers(sock: socket.socket) -> None:
+    """Lets the system buffer little for a socket, or for those that a listening socket accepts."""
+    for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, 4096)
+
+
 class LineServer:
     """Brings up every login, and answers each line of a connection by `echo` and the line.
 
-    `paused` servers read nothing from their connections until they are told to `go_on`.
+    `paused` servers read nothing from their connections until they are told to `go_on`. With
+    `small_buffers` the system's buffers of its connections are soon full.
     """
 
-    def __init__(self, name: str = "s1", paused: bool = False) -> None:
+    def __init__(self, name: str = "s1", paused: bool = False, small_buffers: bool = False) -> None:
         self.name = name
         self.logins: list[bytes] = []  # first lines, in the order in which they came
         self.lines: list[bytes] = []  # lines after the first one, of all connections
@@ -22,6 +29,8 @@
         if not paused:
             self._goes_on.set()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        if small_buffers:
+            shrink_buffers(self._listener)
         self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
         self._connections: list[socket.socket] = []
         threading.Thread(target=self._accept, daemon=True).start()
--- a/tests/processes/test_hostile_clients.py
+++ b/tests/processes/test_hostile_clients.py
@@ -12,7 +12,7 @@
 
 import pytest
 from harness import reserve_port
-from line_server import Agent, LineServer
+from line_server import Agent, LineServer, shrink_buffers
 from real_process import CONFIG, RealProcess
 
 MEMORY_MB = 32
@@ -116,3 +116,28 @@
             time.sleep(0.2)
             assert deployment.ask_health() < OPERATORS_DEADLINE
         assert deployment.peak_mb() < MEMORY_MB
+
+
+# Four buffers of 8 KB of each connection were kept, and the half of the memory that was meant for
+# them is not free at 32 MB.
+def test_clients_that_fill_all_buffers_keep_the_process_within_its_memory(tmp_path):
+    line = b"OPEN %d-%d 7f c=plain,d=900,x=" + b"y" * 3900
+    with Deployment(tmp_path, sockets=1024, small_buffers=True) as deployment:
+        up = []
+        for number in range(240):
+            up += deployment.hold(1, deployment.clients, line % (0, number) + b"\r\n")
+            assert up[-1].recv(100) == b"UP s1\r\n"
+            shrink_buffers(up[-1])
+            up[-1].setblocking(False)
+        # They send much and read nothing, so that the lines lie in all buffers, both ways.
+        until = time.monotonic() + 4
+        while time.monotonic() < until:
+            send_to_all(up, b"z" * 1000 + b"\r\n")
+        # Others stop half way through a line, and callers half way through a call.
+        for wave in range(1, 4):
+            for number in range(150):
+                deployment.hold(1, deployment.clients, line % (wave, number))
+            deployment.hold(32, deployment.admin, HEALTH[:-2] + b"a: " + b"x" * 16000)
+            time.sleep(0.3)
+        assert deployment.ask_health() < OPERATORS_DEADLINE
+        assert deployment.peak_mb() < MEMORY_MB
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -15,7 +16,7 @@
 from harness import MS, BalancerHarness, PolicyHarness
 
 from corklift.interface import Login, MeasurementKind, Outcome, Report, Scope
-from corklift.net.limits import ConfigError, Counters, Limits, LogWriter
+from corklift.net.limits import SECOND, ConfigError, Counters, Limits, LogWriter
 from corklift.net.parsers import (
     HttpResponse,
     Malformed,
@@ -27,7 +28,7 @@
     stable_id,
 )
 from corklift.net.scheduler import Scheduler
-from corklift.net.stream import RingBuffer
+from corklift.net.stream import BufferPool, RingBuffer, Stream
 
 OPEN = "OPEN 1 7f c=plain,d=2000,x=9\r\n"
 
@@ -731,6 +732,33 @@
     assert lines[-1] == f"corklift: later ({1000 - limits.printed} lines before this were dropped)"
 
 
+def test_the_connection_that_holds_buffers_for_longest_is_given_up_beyond_the_limit():
+    counters, limits = Counters(), Limits(1, 8, 8, 200 * MS, SECOND)
+    pool = BufferPool(3 * limits.ring, counters)
+    pairs = [socket.socketpair() for _ in range(3)]
+    first, second, third = (Stream(ours, limits, pool) for ours, _ in pairs)
+    server = Stream(socket.socketpair()[0], limits, pool, owner=first)
+    first.receive_buffer.append(b"half a line")
+    second.receive_buffer.append(b"a line\r\n")
+    assert second.read_line() == b"a line\r\n"  # takes no memory any more
+    server.receive_buffer.append(b"half a line")
+    third.receive_buffer.append(b"half a line")
+    assert not counters
+    second.receive_buffer.append(b"half a line")
+    # The buffers of its server's stream count as those of the client, and are free with them.
+    assert first.broken and not (second.broken or third.broken or server.broken)
+    assert counters == {"connections given up for memory": 1}
+    assert not len(first.receive_buffer) and not len(server.receive_buffer)
+    pairs[0][1].setblocking(False)
+    assert pairs[0][1].recv(1) == b""  # the socket has ended, which wakes its task
+    third.close()
+    first.close()
+    for stream in (second, third):
+        assert len(stream.receive_buffer)
+    first.send_buffer.append(b"after its end")  # counts no more
+    assert counters["connections given up for memory"] == 1
+
+
 def test_limits_reserve_probe_descriptors_and_reject_impossible_values():
     for sockets, memory in ((36, 64), (1024, 192), (20000, 192), (400, 16)):
         limits = Limits.from_deployment(
