Lines of a client that has left by a reset are not sent on

Cause: the system hands out what came before a reset, and the relay took the reset for an end only while its own buffer was full.

Evidence: test_lines_that_lie_unread_when_the_client_resets_are_not_sent_on failed on the text before and passes now.

Why this works: the relay ends the connection in the turn in which poll shows the client's reset. An orderly end still lets all lines through, and a server's last line is still read before its reset.

--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -33,7 +33,7 @@
     parse_server_line,
 )
 from corklift.net.pending import PendingClients, UnreadClose
-from corklift.net.scheduler import ERROR_EVENTS, READ, READ_CLOSED, WRITE, Scheduler, Task
+from corklift.net.scheduler import ERROR_EVENTS, READ, READ_CLOSED, RESET, WRITE, Scheduler, Task
 from corklift.net.stream import BufferPool, LineTooLongError, Stream
 
 # Server lines that end a hand-off without a connection.
@@ -640,7 +640,10 @@
                 events = ready.get(stream.fd, 0)
                 if events & WRITE:
                     stream.flush()
-                if events & ERROR_EVENTS and not stream.receive_buffer.free_bytes:
+                if stream is client and events & RESET:
+                    # Lines that lie unread in the system's buffer are not sent on any more.
+                    stream.broken = True
+                elif events & ERROR_EVENTS and not stream.receive_buffer.free_bytes:
                     stream.broken = True
                 elif events:
                     stream.receive()
--- a/corklift/net/scheduler.py
+++ b/corklift/net/scheduler.py
@@ -20,6 +20,7 @@
 from greenlet import getcurrent, greenlet
 
 READ, WRITE, READ_CLOSED = select.POLLIN, select.POLLOUT, select.POLLRDHUP
+RESET = select.POLLERR
 ERROR_EVENTS = select.POLLERR | select.POLLHUP
 
 
--- a/tests/test_crossings_lines.py
+++ b/tests/test_crossings_lines.py
@@ -168,6 +168,20 @@
     check_ended(scene, "broken")
 
 
+# A client left by a reset, and the lines that lay unread in the system's buffer were sent on.
+def test_lines_that_lie_unread_when_the_client_resets_are_not_sent_on():
+    scene, client, server = established()
+    server.receive_buffer.discard(len(server.receive_buffer))
+    lines = b"".join(b"%07d\r\n" % number for number in range(900))
+    for _ in range(6):  # more than the balancer's own buffers hold
+        client.stream.write(lines)
+    until_delivered(client.stream)
+    client.stream.abort()
+    scene.run(50)
+    assert has_ended(server) and received(server) == b""
+    check_ended(scene, "cancelled")
+
+
 def narrow(monkeypatch) -> tuple[Scene, ScriptedClient, Stream]:
     """As `established`, with small buffers in the kernel, so that they are soon full."""
     scene = Scene("scripted", probes=False)
