A connection forwards 64 lines, then all others have their turn

Cause: all lines of a buffer were forwarded in one turn, up to 8,192 in each direction, and a login needs several turns.

Why this works: what a turn costs no longer depends on what one client sends.

--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -42,6 +42,8 @@
 OUTCOME_BY_LAST_LINE = {"BYE": Outcome.FULFILLED, "MOVE": Outcome.CANCELLED}
 # Clients accepted in a row before other tasks run.
 ACCEPT_BATCH = 32
+# Lines of a connection forwarded in each direction before other tasks run.
+LINE_BATCH = 64
 
 
 class ClientDisconnectedError(Exception):
@@ -598,6 +600,9 @@
             if client.broken:
                 server.abort()
                 return Outcome.CANCELLED, b""
+            if LINE_BATCH in (len(server_lines), len(client_lines)):
+                self._scheduler.wait({}, self._now())
+                continue
             if (server.broken or handle.to_move) and last_keyword in OUTCOME_BY_LAST_LINE:
                 # The client has read the server's ending: no reset or MOVE may follow it.
                 return OUTCOME_BY_LAST_LINE[last_keyword], b""
@@ -649,12 +654,12 @@
                     stream.receive()
 
     def _forward_lines(self, source: Stream, sink: Stream, lines: list[bytes]) -> bool:
-        """Forwards the complete lines that fit into the sink's send buffer, and appends them.
+        """Forwards complete lines that fit into the sink's send buffer, and appends them.
 
-        Returns False if the next line exceeds the limit.
+        Forwards `LINE_BATCH` of them at most. Returns False if the next line exceeds the limit.
         """
         within_limit = True
-        while True:
+        while len(lines) < LINE_BATCH:
             length = source.receive_buffer.line_length()
             if length > self._limits.line or (
                 not length and len(source.receive_buffer) >= self._limits.line
--- a/tests/processes/test_hostile_clients.py
+++ b/tests/processes/test_hostile_clients.py
@@ -6,7 +6,9 @@
 
 import re
 import resource
+import select
 import socket
+import threading
 import time
 from pathlib import Path
 
@@ -15,6 +17,8 @@
 from line_server import Agent, LineServer, shrink_buffers
 from real_process import CONFIG, RealProcess
 
+from corklift.net.limits import SECOND
+
 MEMORY_MB = 32
 SETTINGS = CONFIG["settings"] | {
     "permissions": CONFIG["settings"]["permissions"] | {"probes": True, "max-hand-offs": 3},
@@ -23,6 +27,8 @@
 HEALTH = b"GET /admin/health HTTP/1.1\r\nHost: x\r\n\r\n"
 # An operator's answer is owed in this time, in seconds.
 OPERATORS_DEADLINE = 1.0
+# A login should be up in this time, in seconds.
+SOFT_LIMIT = CONFIG["settings"]["workloads"][0]["soft-limit-ns"] / SECOND
 
 
 @pytest.fixture(autouse=True)
@@ -96,6 +102,18 @@
             pass  # the balancer has closed it
 
 
+def send_until(socks, content, ended: threading.Event) -> None:
+    """Sends the content on non-blocking sockets at full speed, and reads what comes back."""
+    while not ended.is_set():
+        _, writable, _ = select.select([], socks, [], 0.1)
+        send_to_all(writable, content)
+        for sock in socks:
+            try:
+                sock.recv(1 << 16)
+            except OSError:
+                pass  # nothing has come
+
+
 # The fields of a head were kept, 700 KB for a head of 16 KB, while the body was awaited.
 def test_callers_with_heads_of_many_short_fields_take_little_memory(tmp_path):
     head = b"POST /admin/cordon HTTP/1.1\r\nContent-Length: 16000\r\n"
@@ -141,3 +159,27 @@
             time.sleep(0.3)
         assert deployment.ask_health() < OPERATORS_DEADLINE
         assert deployment.peak_mb() < MEMORY_MB
+
+
+# Clients that sent short lines at full speed held up each login for up to 1.6 s.
+def test_logins_are_in_time_beside_clients_that_send_short_lines_at_full_speed(tmp_path):
+    with Deployment(tmp_path, sockets=256) as deployment:
+        floods = deployment.hold(6, deployment.clients)
+        for number, sock in enumerate(floods):
+            sock.sendall(b"OPEN f%d 7f c=plain,d=900\r\n" % number)
+            assert sock.recv(100) == b"UP s1\r\n"
+            sock.setblocking(False)
+        ended = threading.Event()
+        flood = threading.Thread(target=send_until, args=(floods, b"\n" * 8192, ended))
+        flood.start()
+        try:
+            for number in range(10):
+                began = time.monotonic()
+                with socket.create_connection(deployment.clients, 5) as client:
+                    client.sendall(b"OPEN u%d 7f c=plain,d=900\r\n" % number)
+                    assert client.recv(100) == b"UP s1\r\n"
+                assert time.monotonic() - began < SOFT_LIMIT
+                assert deployment.ask_health() < OPERATORS_DEADLINE
+        finally:
+            ended.set()
+            flood.join()
--- a/tests/test_crossings_lines.py
+++ b/tests/test_crossings_lines.py
@@ -17,6 +17,7 @@
 )
 
 from corklift.net.limits import SECOND
+from corklift.net.relay import LINE_BATCH
 from corklift.net.stream import Stream
 
 UP = b"UP s1\r\n"
@@ -182,6 +183,28 @@
     check_ended(scene, "cancelled")
 
 
+# One connection of many short lines took thousands of them in a turn, and all others waited.
+def test_lines_of_one_connection_are_forwarded_in_small_batches(monkeypatch):
+    scene, client, server = established()
+    server.receive_buffer.discard(len(server.receive_buffer))
+    batches = []
+    forward = scene.process.relay._forward_lines
+
+    def counted(source, sink, lines):
+        result = forward(source, sink, lines)
+        batches.append(len(lines))
+        return result
+
+    monkeypatch.setattr(scene.process.relay, "_forward_lines", counted)
+    client.stream.write(b"\n" * 8000)
+    until_delivered(client.stream)
+    for _ in range(20):
+        scene.run(5)
+        received(server)
+    assert sum(batches) == 8000 and max(batches) == LINE_BATCH
+    assert received(server) == b"\n" * 8000
+
+
 def narrow(monkeypatch) -> tuple[Scene, ScriptedClient, Stream]:
     """As `established`, with small buffers in the kernel, so that they are soon full."""
     scene = Scene("scripted", probes=False)
