The ring buffers of clients are bounded by a sixteenth of the memory

What callers saw: a process with memory_mb 32 still had a peak of 32.7 to 33.2 MB while clients filled all buffers.

Cause: the bound of an eighth, 4 MB, leaves no room for what freed buffers leave behind: holes that other objects fill.

Why this works: 2 MB less are taken by buffers that nobody reads. Usual connections have none most of the time.

--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -20,7 +20,7 @@
 # Standard streams, listener, signal socket pair, and some that the interpreter opens.
 RESERVED_DESCRIPTORS = 8
 # Share of the memory for the ring buffers of clients and their servers.
-BUFFER_SHARE = 1 / 8
+BUFFER_SHARE = 1 / 16
 # Memory of a relayed client with full buffers, a greenlet, and the decisions' records of it.
 CLIENT_BYTES = 64 * 1024
 # Share of the memory for the table of connection names.
