Failed gRPC calls leave no reference cycles behind

Cause: a call kept the error that ended it, whose traceback refers to the call's frames, and a call and its user referred to each other. All of it stayed until a garbage collection after 50,000 new objects.

Why this works: kept errors have no traceback, a call forgets its user at its end, a connection its session. The setup of the collector, which stood twice, is one function.

--- a/corklift/control/program.py
+++ b/corklift/control/program.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import gc
 import signal
 import sys
 import traceback
@@ -26,6 +25,7 @@
 from corklift.control.subscriptions import Resource, ResourceKind, SubscriptionManager
 from corklift.control.weights import PublishedWeights, UnreportedGrants, WeightPublisher
 from corklift.interface import Scope, Status
+from corklift.net.collector import prepare_collector
 from corklift.net.facade import Facade
 from corklift.net.limits import MS, SECOND, Counters, LogWriter, raise_descriptor_limit
 from corklift.net.monitoring import DiscoveryWatch, ServerProbes
@@ -405,9 +405,7 @@
         self.scheduler.on_signal(signal.SIGINT, self.stop)
         self.scheduler.on_signal(signal.SIGUSR1, self.log_counters)
         self.start()
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(50_000, 20, 20)
+        prepare_collector()
         self.scheduler.run()
         self.log_counters()
         self.event_log.flush()
--- a/corklift/rpc/connection.py
+++ b/corklift/rpc/connection.py
@@ -71,12 +71,13 @@
         """
         call = self._call
         if call.ended and not call.inbox:
-            raise call.error or RpcError(Code.CANCELLED, "call has ended")
+            error = call.error or RpcError(Code.CANCELLED, "call has ended")
+            raise error.without_traceback()
         if call.deadline is not None:
             if self._scheduler.now() >= call.deadline:
                 error = RpcError(Code.DEADLINE_EXCEEDED, "deadline passed")
                 self._connection.finish(call, error)
-                raise error
+                raise error.without_traceback()
             until = call.deadline if until is None else min(until, call.deadline)
         self._task = self._scheduler.current
         self._scheduler.wait({}, until)
@@ -99,7 +100,7 @@
             if message is not None:
                 return message
             if self._call.error is not None:
-                raise self._call.error
+                raise self._call.error.without_traceback()
             if self._call.remote_closed or (until is not None and self._scheduler.now() >= until):
                 return None
             self.wait(until)
@@ -123,6 +124,10 @@
         self._connection.finish(self._call, error or RpcError(Code.CANCELLED, "cancelled"))
 
 
+def _do_nothing() -> None:
+    """Stands for a notification that nobody wants."""
+
+
 class RpcConnection:
     """One connection, of a server or a client."""
 
@@ -154,7 +159,7 @@
         self._mark_set_at = self._started_at
         self.closed = self._aborted = False
         self.close_reason = ""
-        self.on_close: Callable[[], None] = lambda: None
+        self.on_close: Callable[[], None] = _do_nothing
 
     def _on_call(self, call: Call) -> None:
         assert self._handle_call is not None
@@ -168,7 +173,7 @@
             self._handle_call(rpc_call)
             error = None
         except RpcError as raised:
-            error = raised
+            error = raised.without_traceback()
         finally:  # an exception ends only its call; the scheduler logs it
             if error is not None and not call.ended:
                 self._counters[f"calls ended {error.code.name}"] += 1
@@ -227,7 +232,8 @@
             self.closed = True
             (self._stream.abort if self._aborted else self._stream.close)()
             self.session.connection_lost(self.close_reason or "connection lost")
-            self.on_close()
+            on_close, self.on_close = self.on_close, _do_nothing
+            on_close()
 
     def _step(self) -> bool:
         now = self.scheduler.now()
--- a/corklift/rpc/core.py
+++ b/corklift/rpc/core.py
@@ -49,6 +49,14 @@
         super().__init__(f"{code.name}: {message}" if message else code.name)
         self.code, self.message = code, message
 
+    def without_traceback(self) -> RpcError:
+        """Returns an equal error that refers to no frames, to be kept or to be raised again.
+
+        A call that keeps an error whose frames refer to the call stays in memory until the next
+        garbage collection.
+        """
+        return RpcError(self.code, self.message)
+
 
 @dataclass(frozen=True)
 class RpcLimits:
--- a/corklift/rpc/session.py
+++ b/corklift/rpc/session.py
@@ -61,6 +61,14 @@
 CONTENT_TYPE = "application/grpc"
 
 
+def _do_nothing() -> None:
+    """Stands for the notification of a call's user once the call has ended.
+
+    The user refers to the call, so that a reference back would keep both until the next garbage
+    collection.
+    """
+
+
 class SessionError(Exception):
     """The peer violates the protocol or exceeds a limit; the connection must be closed."""
 
@@ -85,7 +93,7 @@
         self.error: RpcError | None = None
         self.trailers: list[tuple[str, str]] | None = None  # to be sent after the outbox
         self.finishing = False  # no further message may be queued
-        self.on_change: Callable[[], None] = lambda: None
+        self.on_change: Callable[[], None] = _do_nothing
         self._decoder = MessageDecoder(limits.max_message_bytes)
         # Received flow-control bytes of the incomplete message, not acknowledged yet.
         self._unacknowledged = 0
@@ -413,7 +421,8 @@
             RpcError: the call has ended, or the outbox is full.
         """
         if call.ended or call.finishing:
-            raise call.error or RpcError(Code.CANCELLED, "call has ended")
+            error = call.error or RpcError(Code.CANCELLED, "call has ended")
+            raise error.without_traceback()
         if len(call.outbox) + len(message) > self._limits.max_outbox_bytes:
             raise RpcError(Code.RESOURCE_EXHAUSTED, "too much waits to be sent")
         call.outbox += encode_message(message)
@@ -492,6 +501,7 @@
     def connection_lost(self, reason: str) -> None:
         """Ends all calls with UNAVAILABLE."""
         self.closed = True
+        self._on_call = None  # its owner refers to this session
         for call in list(self._calls.values()):
             self._end_call(call, RpcError(Code.UNAVAILABLE, reason))
 
@@ -597,7 +607,8 @@
                 # Unread messages must not keep the window of the connection closed.
                 self._acknowledge(call, unacknowledged)
             call._unacknowledged = 0
-            call.on_change()
+            on_change, call.on_change = call.on_change, _do_nothing
+            on_change()
 
     def _collect_output(self) -> None:
         self._output += self._h2.data_to_send()
--- a/corklift/service.py
+++ b/corklift/service.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import gc
 import os
 import select
 import signal
@@ -23,6 +22,7 @@
 from corklift.interface import Scope
 from corklift.net.admin import Admin, AdminHandler, format_stats
 from corklift.net.blocking import listening_socket
+from corklift.net.collector import prepare_collector
 from corklift.net.facade import Facade
 from corklift.net.handover_driver import HandoverDriver
 from corklift.net.handover_files import handover_directory
@@ -329,10 +329,7 @@
         if time_since_stop is not None:
             # Clients may be in the queue of the listening socket; they get their answers.
             self.request_stop(time_since_stop)
-        # Shortens garbage collection pauses: objects that exist now are never scanned again.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(50_000, 20, 20)
+        prepare_collector()
         self.scheduler.run()
         self._log_counters()
         self._flush_log()
