What a gRPC server's calls have received in part is bounded together

Cause: the received part of a message was bounded for each call alone; a call kept all fields of its head, and waited without end for its request.

Why this works: ReceiveBudget counts the bytes of all calls; beyond its limit the call that has held something for longest is ended. A sound call sends its message as a whole. Unused header fields are not kept, and a call of one message ends when that is not whole in the stall timeout.

--- a/corklift/membership/peers.py
+++ b/corklift/membership/peers.py
@@ -70,6 +70,7 @@
         max_connections=2 * links,
         max_streams=8,
         max_message_bytes=message,
+        max_received_bytes=max(1 << 20, 2 * message),
         max_header_bytes=4 << 10,
         max_inbox_messages=2,
         max_outbox_bytes=2 * message,
--- a/corklift/rpc/connection.py
+++ b/corklift/rpc/connection.py
@@ -12,6 +12,7 @@
 from corklift.net.scheduler import READ, WRITE, Scheduler, Task
 from corklift.net.stream import Stream
 from corklift.rpc.core import Code, RpcError, RpcLimits
+from corklift.rpc.receive_budget import ReceiveBudget
 from corklift.rpc.session import Call, Session, SessionError
 
 
@@ -31,10 +32,6 @@
     def deadline(self) -> int | None:
         return self._call.deadline
 
-    @property
-    def metadata(self) -> dict[bytes, bytes]:
-        return self._call.metadata
-
     @property
     def ended(self) -> bool:
         """Whether the call is over in both directions."""
@@ -105,6 +102,14 @@
                 return None
             self.wait(until)
 
+    def receive_request(self) -> bytes | None:
+        """Returns the request of a unary call; None if it is not whole in time.
+
+        Raises:
+            RpcError: the call failed.
+        """
+        return self.receive(self._scheduler.now() + self._connection.limits.stall_timeout)
+
     def send_nowait(self, message: bytes) -> None:
         """Queues a message without blocking; fails if the outbox is full."""
         self._connection.session.send(self._scheduler.now(), self._call, message)
@@ -140,8 +145,9 @@
         peer: str,
         client: bool,
         handle_call: Callable[[RpcCall], None] | None = None,
+        budget: ReceiveBudget | None = None,
     ) -> None:
-        self.scheduler, self._limits, self._counters, self._stream, self.peer = (
+        self.scheduler, self.limits, self._counters, self._stream, self.peer = (
             scheduler,
             limits,
             counters,
@@ -149,7 +155,7 @@
             peer,
         )
         self._handle_call = handle_call
-        self.session = Session(limits, client, self._on_call)
+        self.session = Session(limits, client, self._on_call, budget, self.wake)
         self._task: Task | None = None
         self._started_at = self._last_received_at = scheduler.now()
         # Detects a peer that does not read: of the bytes written to the socket's ring buffer so
@@ -275,7 +281,7 @@
 
         Otherwise a peer could hold a connection without sending, reading or answering pings.
         """
-        limits, session = self._limits, self.session
+        limits, session = self.limits, self.session
         next_check = now + limits.stall_timeout // 2
         if not session.settings_received:
             if now - self._started_at >= limits.handshake_timeout:
@@ -303,7 +309,7 @@
 
     def _drain_output(self) -> None:
         """Sends the remaining output, within the close timeout."""
-        until = self.scheduler.now() + self._limits.close_timeout
+        until = self.scheduler.now() + self.limits.close_timeout
         while not self._stream.broken and self.scheduler.now() < until:
             if not len(self._stream.send_buffer):
                 output = self.session.data_to_send(self._stream.send_buffer.free_bytes)
--- a/corklift/rpc/core.py
+++ b/corklift/rpc/core.py
@@ -65,6 +65,8 @@
     max_connections: int = 2_000  # of a server; further ones are closed at once
     max_streams: int = 16  # concurrent calls on one connection
     max_message_bytes: int = 4 << 20  # of a received message
+    # Of all messages of a server that are incomplete or wait to be read.
+    max_received_bytes: int = 64 << 20
     max_header_bytes: int = 16 << 10  # of the headers of a call, as HTTP/2 counts them
     # Complete unread messages of a call; at this number its flow-control window is not reopened.
     max_inbox_messages: int = 16
--- a/corklift/rpc/server.py
+++ b/corklift/rpc/server.py
@@ -15,6 +15,7 @@
 from corklift.net.stream import Stream
 from corklift.rpc.connection import RpcCall, RpcConnection
 from corklift.rpc.core import Code, RpcError, RpcLimits
+from corklift.rpc.receive_budget import ReceiveBudget
 
 Handler = Callable[[RpcCall], None]
 MAX_ACCEPTS_AT_ONCE = 32  # then the accepted connections are served first
@@ -24,7 +25,7 @@
     """Returns a handler of calls with one request and one response."""
 
     def handler(call: RpcCall) -> None:
-        request = call.receive()
+        request = call.receive_request()
         if request is None:
             raise RpcError(Code.INVALID_ARGUMENT, "no request came")
         call.send_nowait(respond(call, request))
@@ -49,6 +50,7 @@
             handlers,
         )
         self.connections: set[RpcConnection] = set()
+        self._budget = ReceiveBudget(limits.max_received_bytes)
         self._listener: socket.socket | None = None
         self._accept_task: Task | None = None
         self._stopping = False
@@ -102,6 +104,7 @@
             peer,
             False,
             self._dispatch,
+            self._budget,
         )
         self.connections.add(connection)
         connection.on_close = lambda: self.connections.discard(connection)
--- a/corklift/rpc/session.py
+++ b/corklift/rpc/session.py
@@ -46,6 +46,7 @@
     parse_timeout,
     status_from_trailers,
 )
+from corklift.rpc.receive_budget import ReceiveBudget
 
 INITIAL_WINDOW = 65_535  # HTTP/2's initial flow-control window
 MAX_STREAM_ID = (1 << 31) - 1
@@ -59,6 +60,11 @@
 GOAWAY_FRAME_TYPE = 7
 FRAME_HEADER_BYTES = 9
 CONTENT_TYPE = "application/grpc"
+# The header fields that are used; no other is kept.
+HEADER_FIELDS = frozenset(
+    (b":method", b":path", b":status", b"content-type", b"grpc-message", b"grpc-status")
+    + (b"grpc-timeout",)
+)
 
 
 def _do_nothing() -> None:
@@ -78,7 +84,6 @@
 
     def __init__(self, stream_id: int, path: str, limits: RpcLimits, now: int) -> None:
         self.stream_id, self.path, self.started_at = stream_id, path, now
-        self.metadata: dict[bytes, bytes] = {}
         self.deadline: int | None = None
         # Received messages, each with the flow-control bytes to acknowledge once it is read.
         self.inbox: deque[tuple[bytes, int]] = deque()
@@ -103,9 +108,24 @@
     """One side of a connection. `on_call` is called for each call that the peer starts."""
 
     def __init__(
-        self, limits: RpcLimits, client: bool, on_call: Callable[[Call], None] | None = None
+        self,
+        limits: RpcLimits,
+        client: bool,
+        on_call: Callable[[Call], None] | None = None,
+        budget: ReceiveBudget | None = None,
+        wake: Callable[[], None] = _do_nothing,
     ) -> None:
+        """Creates the session.
+
+        Args:
+            limits: the limits of the connection.
+            client: whether this side starts the calls.
+            on_call: called for each call that the peer starts.
+            budget: counts what the calls of a server have received.
+            wake: called when there is output though nothing was received.
+        """
         self._limits, self._client, self._on_call = limits, client, on_call
+        self._budget, self._wake = budget, wake
         settings = {
             SettingCodes.MAX_CONCURRENT_STREAMS: limits.max_streams,
             SettingCodes.MAX_HEADER_LIST_SIZE: limits.max_header_bytes,
@@ -215,8 +235,9 @@
             text = payload[8:].decode("ascii", "replace")[:200]
             self._fail(f"GOAWAY with error {code} {text}")
 
-    def _header_dict(self, pairs: Iterable[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
-        return dict(pairs)
+    @staticmethod
+    def _header_dict(pairs: Iterable[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
+        return {bytes(name): bytes(value) for name, value in pairs if name in HEADER_FIELDS}
 
     def _on_request(self, now: int, event: Any) -> None:
         headers = self._header_dict(event.headers)
@@ -227,7 +248,6 @@
             now,
         )
         self._calls[call.stream_id] = call
-        call.metadata = headers
         if headers.get(b":method") != b"POST" or not headers.get(b"content-type", b"").startswith(
             CONTENT_TYPE.encode()
         ):
@@ -263,11 +283,10 @@
             self._reset(call, RpcError(Code.UNKNOWN, "response is not gRPC"))
         else:
             call.headers_received = True
-            call.metadata = headers
 
     def _on_data(self, now: int, event: Any) -> None:
         call = self._calls.get(event.stream_id)
-        if call is None or call.ended:
+        if call is None or call.ended or (call.finishing and not self._client):
             self._h2.acknowledge_received_data(event.flow_controlled_length, event.stream_id)
             return
         call._unacknowledged += event.flow_controlled_length
@@ -286,9 +305,23 @@
             # The buffer of the decoder is bounded.
             self._acknowledge(call, call._unacknowledged)
             call._unacknowledged = 0
+        if self._budget is not None:
+            self._budget.add(call, len(event.data), lambda: self._exceeds_budget(now, call))
         if messages:
             call.on_change()
 
+    def _exceeds_budget(self, now: int, call: Call) -> None:
+        """Ends a call of a server whose message has been incomplete or unread for too long."""
+        unacknowledged = call._unacknowledged + sum(size for _, size in call.inbox)
+        call._decoder = MessageDecoder(self._limits.max_message_bytes)
+        call.inbox.clear()
+        call._unacknowledged = 0
+        self._acknowledge(call, unacknowledged)
+        error = RpcError(Code.RESOURCE_EXHAUSTED, "messages in memory exceed the limit")
+        self.finish(now, call, error)
+        call.on_change()
+        self._wake()
+
     def _acknowledge(self, call: Call, byte_count: int) -> None:
         if byte_count and not self.closed:
             try:
@@ -434,6 +467,8 @@
         if not call.inbox:
             return None
         message, size = call.inbox.popleft()
+        if self._budget is not None:
+            self._budget.release(call, len(message) + PREFIX_BYTES)
         if not call.ended:
             self._acknowledge(
                 call,
@@ -501,7 +536,8 @@
     def connection_lost(self, reason: str) -> None:
         """Ends all calls with UNAVAILABLE."""
         self.closed = True
-        self._on_call = None  # its owner refers to this session
+        # Their owner refers to this session.
+        self._on_call, self._wake = None, _do_nothing
         for call in list(self._calls.values()):
             self._end_call(call, RpcError(Code.UNAVAILABLE, reason))
 
@@ -603,6 +639,8 @@
             unacknowledged = call._unacknowledged + sum(size for _, size in call.inbox)
             self._calls.pop(call.stream_id, None)
             self._sending.pop(call.stream_id, None)
+            if self._budget is not None:
+                self._budget.remove(call)
             if unacknowledged and not self.closed:
                 # Unread messages must not keep the window of the connection closed.
                 self._acknowledge(call, unacknowledged)
--- a/tests/processes/test_hostile_peers.py
+++ b/tests/processes/test_hostile_peers.py
@@ -181,3 +181,23 @@
         assert connection.call_at_full_speed(2, lambda n: f"/unknown/{n}", lambda n: b"") > 500
         assert connection.call_at_full_speed(2, lambda n: CALL, lambda n: b"\x01%d" % n) > 500
         assert balancer.peak_mb() < MEMORY_MB
+
+
+# Messages of which a part had come were bounded for each call alone, and heads not by their fields.
+def test_half_sent_calls_on_all_connections_keep_the_process_within_its_memory(tmp_path):
+    with ServeProcess(tmp_path) as balancer:
+        connections = [balancer.connect() for _ in range(32)]
+        for connection in connections:
+            connection.read()  # the settings
+            streams = [connection.start_call(CALL, [("x", "y" * 900)]) for _ in range(8)]
+            for stream in streams:
+                connection.http.send_data(stream, b"\0" + (64 << 10).to_bytes(4, "big"))
+            connection.flush()
+            for _ in range(6):
+                for stream in connection.http.streams.keys() & set(streams):
+                    room = connection.http.local_flow_control_window(stream)
+                    connection.http.send_data(stream, b"x" * min(room, 10_000))
+                connection.flush()
+                connection.read(0.01)
+        assert balancer.log_in("u1") < SOFT_LIMIT
+        assert balancer.peak_mb() < MEMORY_MB
