A gRPC connection handles frames for 2 ms, then others have their turn

Cause: all frames of a received buffer were handled in one turn, 30 to 60 us each, and a login needs several turns.

Evidence: test_logins_and_peers_are_in_time_beside_small_frames_... [data of one byte] failed on the text before (0.93 s, 0.8 s allowed), and passes now; its variant with window updates passed before too.

Why this works: what a turn costs no longer depends on what one peer sends. h2 remembers 1,024 closed streams of a connection, not 65,536.

--- a/corklift/rpc/connection.py
+++ b/corklift/rpc/connection.py
@@ -15,6 +15,9 @@
 from corklift.rpc.receive_budget import ReceiveBudget
 from corklift.rpc.session import Call, Session, SessionError
 
+# Received bytes that are handled before the clock is read.
+HANDLED_BYTES = 512
+
 
 class RpcCall:
     """A call, as its server or client uses it. Every wait ends at the call's deadline."""
@@ -157,7 +160,7 @@
         self._handle_call = handle_call
         self.session = Session(limits, client, self._on_call, budget, self.wake)
         self._task: Task | None = None
-        self._started_at = self._last_received_at = scheduler.now()
+        self._started_at = self.last_received_at = scheduler.now()
         # Detects a peer that does not read: of the bytes written to the socket's ring buffer so
         # far, those up to the mark must have been sent within the stall timeout after the mark was
         # set.
@@ -244,18 +247,20 @@
     def _step(self) -> bool:
         now = self.scheduler.now()
         if self._stream.receive():
-            self._last_received_at = now
-            self.session.receive_data(
-                now, self._stream.receive_buffer.read(len(self._stream.receive_buffer))
-            )
+            self.last_received_at = now
+        self._handle_received(now + self.limits.turn_time)
         self._write()
-        if self._stream.broken or self._stream.peer_closed:
+        has_unhandled = len(self._stream.receive_buffer) > 0
+        if self._stream.broken or (self._stream.peer_closed and not has_unhandled):
             self.close_reason = self.close_reason or "connection closed by peer"
             return True
         if self.session.closed or (self.session.going_away and not self.session.call_count):
             self._drain_output()
             return True
         next_check = self._check_timeouts(now)
+        if has_unhandled:
+            self.scheduler.wait({}, now)  # the others have their turn
+            return False
         if self.session.has_output and self._stream.send_buffer.free_bytes:
             return False
         fds = {self._stream.fd: READ | (WRITE if len(self._stream.send_buffer) else 0)}
@@ -263,6 +268,15 @@
         self._stream.flush()
         return False
 
+    def _handle_received(self, until: int) -> None:
+        """Handles what is in the receive buffer, up to the given time."""
+        buffer = self._stream.receive_buffer
+        while len(buffer):
+            part = buffer.read(min(len(buffer), HANDLED_BYTES))
+            self.session.receive_data(self.scheduler.now(), part)
+            if self.scheduler.now() >= until:
+                break
+
     def _write(self) -> None:
         while not self._stream.broken:
             output = self.session.data_to_send(self._stream.send_buffer.free_bytes)
@@ -300,11 +314,11 @@
                 if now - session.ping_sent_at >= limits.ping_timeout:
                     raise SessionError("ping was not answered in time")
                 next_check = min(next_check, session.ping_sent_at + limits.ping_timeout)
-            elif now - self._last_received_at >= limits.ping_after:
+            elif now - self.last_received_at >= limits.ping_after:
                 session.ping(now)
                 next_check = now  # the ping is written first
             else:
-                next_check = min(next_check, self._last_received_at + limits.ping_after)
+                next_check = min(next_check, self.last_received_at + limits.ping_after)
         return next_check
 
     def _drain_output(self) -> None:
--- a/corklift/rpc/core.py
+++ b/corklift/rpc/core.py
@@ -75,6 +75,8 @@
     line: int = 4096  # unused here, but required by `Stream`
     # Received pings, settings and resets per second; beyond this the connection is closed.
     max_control_frames: int = 200
+    # How long a connection's received frames are handled before others have their turn.
+    turn_time: int = 2 * MS
     handshake_timeout: int = 5 * SECOND  # from the connect to the peer's first settings
     ping_after: int = 10 * SECOND  # without any received bytes; 0: never
     ping_timeout: int = 5 * SECOND  # for the answer to a ping
--- a/corklift/rpc/session.py
+++ b/corklift/rpc/session.py
@@ -75,6 +75,11 @@
     """
 
 
+class _Connection(H2Connection):
+    # Closed streams that are remembered, for frames that are late; h2 remembers 65,536.
+    MAX_CLOSED_STREAMS = 1024
+
+
 class SessionError(Exception):
     """The peer violates the protocol or exceeds a limit; the connection must be closed."""
 
@@ -131,7 +136,7 @@
             SettingCodes.MAX_HEADER_LIST_SIZE: limits.max_header_bytes,
             SettingCodes.ENABLE_PUSH: 0,
         }
-        self._h2 = H2Connection(H2Configuration(client_side=client, header_encoding=None))
+        self._h2 = _Connection(H2Configuration(client_side=client, header_encoding=None))
         self._h2.local_settings = Settings(client=client, initial_values=settings)
         self._h2.max_inbound_frame_size = self._h2.local_settings.max_frame_size
         self._h2.decoder.max_header_list_size = limits.max_header_bytes
--- a/tests/processes/test_hostile_peers.py
+++ b/tests/processes/test_hostile_peers.py
@@ -6,9 +6,12 @@
 
 import re
 import resource
+import select
 import socket
+import struct
 import subprocess
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -19,11 +22,14 @@
 from harness import reserve_port
 from line_server import Agent, LineServer
 
-from corklift.membership.peers import CALL
+from corklift.membership.peers import CALL, STATUS, call_peer
+from corklift.net.limits import MS
 
 MEMORY_MB = 32
 # A login should be up in this time, in seconds.
 SOFT_LIMIT = 0.8
+# A call of a peer has a reply within a period.
+PEERS_DEADLINE = 500 * MS
 CONFIG = """
 [peers]
 name = "b1"
@@ -174,6 +180,19 @@
         return ended
 
 
+def send_until(socks, content, ended: threading.Event) -> None:
+    """Sends the content on non-blocking sockets at full speed, whole, and reads what comes back."""
+    unsent = dict.fromkeys(socks, memoryview(content))
+    while not ended.is_set():
+        _, writable, _ = select.select([], socks, [], 0.1)
+        for sock in writable:
+            try:
+                unsent[sock] = unsent[sock][sock.send(unsent[sock]) :] or memoryview(content)
+                sock.recv(1 << 16)
+            except OSError:
+                pass  # nothing has come, or the balancer has closed it
+
+
 # Each call that failed stayed in memory until a garbage collection, 6 KB and more of it.
 def test_failed_calls_at_full_speed_leave_no_memory_behind(tmp_path):
     with ServeProcess(tmp_path) as balancer:
@@ -201,3 +220,32 @@
                 connection.read(0.01)
         assert balancer.log_in("u1") < SOFT_LIMIT
         assert balancer.peak_mb() < MEMORY_MB
+
+
+# All frames of a buffer were handled in one turn, and all others waited for it.
+@pytest.mark.parametrize("kind", ["window updates", "data of one byte"])
+def test_logins_and_peers_are_in_time_beside_small_frames_at_full_speed(tmp_path, kind):
+    with ServeProcess(tmp_path) as balancer:
+        socks, content = [], b""
+        for _ in range(12):
+            connection = balancer.connect()
+            stream = connection.start_call(CALL)
+            connection.flush()
+            frame = {
+                "window updates": struct.pack(">HBBBII", 0, 4, 8, 0, 0, 1),
+                "data of one byte": struct.pack(">HBBBIB", 0, 1, 0, 0, stream, 0),
+            }[kind]
+            content = frame * 4000
+            connection.sock.setblocking(False)
+            socks.append(connection.sock)
+        ended = threading.Event()
+        flood = threading.Thread(target=send_until, args=(socks, content, ended))
+        flood.start()
+        try:
+            for number in range(8):
+                assert balancer.log_in(f"u{number}") < SOFT_LIMIT
+            call_peer(balancer.peers, STATUS, b"", PEERS_DEADLINE)
+        finally:
+            ended.set()
+            flood.join()
+        assert balancer.peak_mb() < MEMORY_MB
