Peer connections that are only held open make way for others

Cause: RpcServer turned away every further connection.

Evidence: test_connections_that_are_only_held_open_do_not_shut_out_peers failed on the text before in both variants, and passes now.

Why this works: a connection without calls is closed for a new one, first one on which no call has succeeded, then the one silent for longest. The control service keeps its rule: a test of it failed on the way, so that the new one is a limit of its own (idle_makes_way).

--- a/corklift/membership/peers.py
+++ b/corklift/membership/peers.py
@@ -68,6 +68,7 @@
     """Returns the RPC limits of calls between peers: small messages on few, reused connections."""
     return RpcLimits(
         max_connections=2 * links,
+        idle_makes_way=True,
         max_streams=8,
         max_message_bytes=message,
         max_received_bytes=max(1 << 20, 2 * message),
--- a/corklift/rpc/core.py
+++ b/corklift/rpc/core.py
@@ -62,7 +62,8 @@
 class RpcLimits:
     """Limits and timeouts (ns) of all connections and calls of one server or channel."""
 
-    max_connections: int = 2_000  # of a server; further ones are closed at once
+    max_connections: int = 2_000  # of a server; further ones are closed at once ...
+    idle_makes_way: bool = False  # ... or a connection without calls is closed for them
     max_streams: int = 16  # concurrent calls on one connection
     max_message_bytes: int = 4 << 20  # of a received message
     # Of all messages of a server that are incomplete or wait to be read.
--- a/corklift/rpc/server.py
+++ b/corklift/rpc/server.py
@@ -18,6 +18,7 @@
 from corklift.rpc.receive_budget import ReceiveBudget
 
 Handler = Callable[[RpcCall], None]
+CLOSE_POLL_INTERVAL = 1_000_000  # ns
 MAX_ACCEPTS_AT_ONCE = 32  # then the accepted connections are served first
 
 
@@ -74,10 +75,12 @@
         self._accept_task = self._scheduler.current
         while not self._stopping:
             self._scheduler.wait({self._listener.fileno(): READ})
+            if self._limits.idle_makes_way and self._is_full:
+                self._make_room()
             for _ in range(MAX_ACCEPTS_AT_ONCE):
                 try:
                     sock, address = self._listener.accept()
-                except (BlockingIOError, InterruptedError):
+                except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                     break
                 except OSError as error:
                     self._counters["accepts failed"] += 1
@@ -87,11 +90,39 @@
                         self._scheduler.sleep(50_000_000)
                     break
                 self.serve_connection(sock, f"{address[0]}:{address[1]}")
+                if self._limits.idle_makes_way and self._is_full:
+                    break
         self._listener.close()
 
+    @property
+    def _is_full(self) -> bool:
+        return len(self.connections) >= self._limits.max_connections
+
+    def _make_room(self) -> None:
+        """Closes a connection without calls, if there is one, and waits until it is closed.
+
+        One on which no call has succeeded goes first, then the one that has been silent for
+        longest. So connections that are only held open do not shut out others.
+        """
+        idle = [connection for connection in self.connections if not connection.session.call_count]
+        if not idle:
+            return
+        self._counters["connections that made way"] += 1
+        chosen = min(
+            idle,
+            key=lambda connection: (
+                connection.session.succeeded_calls > 0,
+                connection.last_received_at,
+            ),
+        )
+        (chosen.go_away if chosen.session.succeeded_calls else chosen.abort)()
+        until = self._scheduler.now() + self._limits.close_timeout
+        while chosen in self.connections and self._scheduler.now() < until:
+            self._scheduler.sleep(CLOSE_POLL_INTERVAL)
+
     def serve_connection(self, sock: socket.socket, peer: str) -> None:
         """Serves a connection, accepted by this server's listening socket or by another one."""
-        if len(self.connections) >= self._limits.max_connections or self._stopping:
+        if self._is_full or self._stopping:
             self._counters["connections turned away"] += 1
             sock.close()
             return
--- a/corklift/rpc/session.py
+++ b/corklift/rpc/session.py
@@ -155,6 +155,7 @@
         # GOAWAY was received or sent: no new calls, but those in progress continue.
         self.going_away = False
         self.closed = False  # nothing more is sent or received
+        self.succeeded_calls = 0  # of a server
         self.ping_sent_at = 0  # of a ping without an answer yet; 0: none
 
     # Input from the peer
@@ -627,6 +628,7 @@
 
     def _send_trailers(self, call: Call) -> None:
         assert call.trailers is not None
+        self.succeeded_calls += call.error is None
         response_headers = (
             [] if call.headers_sent else [(":status", "200"), ("content-type", CONTENT_TYPE)]
         )
--- a/tests/processes/test_hostile_peers.py
+++ b/tests/processes/test_hostile_peers.py
@@ -249,3 +249,22 @@
             ended.set()
             flood.join()
         assert balancer.peak_mb() < MEMORY_MB
+
+
+# Connections that said nothing took all places, and peers were turned away.
+@pytest.mark.parametrize("says", ["nothing", "its settings"])
+def test_connections_that_are_only_held_open_do_not_shut_out_peers(tmp_path, says):
+    with ServeProcess(tmp_path) as balancer:
+        held = []
+        for _ in range(200):
+            held.append(socket.create_connection(balancer.peers, 5))
+            if says == "its settings":
+                http = H2Connection(H2Configuration())
+                http.initiate_connection()
+                held[-1].sendall(http.data_to_send())
+        try:
+            for _ in range(5):
+                call_peer(balancer.peers, STATUS, b"", PEERS_DEADLINE)
+        finally:
+            for sock in held:
+                sock.close()
