The table of names that is not shared lies in anonymous memory, not in a memfd

A process that shares its names with no other made a file of its own for them with memfd_create, which a platform that restricts system calls may refuse. Anonymous memory does the same with a call that every allocation uses.

--- a/corklift/net/connection_names.py
+++ b/corklift/net/connection_names.py
@@ -23,6 +23,8 @@
 _SLOT = struct.Struct("<QQ")  # hash of a name, time until which the name is reserved
 SLOTS_PER_BUCKET = 16
 _BUCKET = struct.Struct(f"<{2 * SLOTS_PER_BUCKET}Q")
+# In place of the descriptor of a file.
+IN_MEMORY = -1
 # The time of a name that is in use.
 IN_USE = (1 << 64) - 1
 
@@ -43,15 +45,16 @@
 
     @classmethod
     def create(cls, fd: int, size: int) -> NameTable:
-        """Writes an empty table of about `size` bytes to a new file.
+        """Writes an empty table of about `size` bytes to a new file, or to memory for `IN_MEMORY`.
 
         Raises:
             OSError: there is no room for the file.
         """
         key, bucket_count = os.urandom(KEY_BYTES), max(1, size // _BUCKET.size)
         file_size = _HEADER.size + bucket_count * _BUCKET.size
-        # Takes the room now: later on, a write must not fail for want of it.
-        os.posix_fallocate(fd, 0, file_size)
+        if fd != IN_MEMORY:
+            # Takes the room now: later on, a write must not fail for want of it.
+            os.posix_fallocate(fd, 0, file_size)
         content = mmap(fd, file_size)
         _HEADER.pack_into(content, 0, key, bucket_count)
         return cls(content, key, bucket_count)
@@ -123,11 +126,7 @@
             table_size: bytes of the table.
         """
         self._now, self._reserve_time, self._table_size = now, reserve_time, table_size
-        fd = os.memfd_create("names")
-        try:
-            self._table = NameTable.create(fd, table_size)
-        finally:
-            os.close(fd)
+        self._table = NameTable.create(IN_MEMORY, table_size)
         self._others: dict[int, _OtherTable] = {}  # by generation
         self.count = 0  # names in use by this process
 
