Answers of discovery that stall are read on, and discovery is called beside them

Cause: DiscoveryWatch had one call at a time. An answer that stalled for 0.1 s was given up and asked for again, that one after 0.2 s, and the third was taken. Reading on alone would wait for answers that never end.

Evidence: tests/test_discovery_pieces.py, 30 cases, plays every size of the first piece: two pieces, a stop for good, an end or a reset, with further answers cut too, lists pushed and asked for.

Change: a call is an object that never blocks (net/list_call.py), and up to three are under way. One that stalls is read on while the next is made after 0.1, 0.1, 0.2, 0.4 s; the first complete answer is applied, overtaken ones are dropped. The watch moved to net/discovery_watch.py.

Why this works: what may still come is waited for, and what may never come is not waited for alone.

Tests changed: test_stalled_discovery_response and the one of truncated answers in test_control counted failures; a stall is none any more, so they count the calls beside it, as many.

--- a/corklift/control/program.py
+++ b/corklift/control/program.py
@@ -26,9 +26,10 @@
 from corklift.control.weights import PublishedWeights, UnreportedGrants, WeightPublisher
 from corklift.interface import Scope, Status
 from corklift.net.collector import prepare_collector
+from corklift.net.discovery_watch import DiscoveryWatch
 from corklift.net.facade import Facade
 from corklift.net.limits import MS, SECOND, Counters, LogWriter, raise_descriptor_limit
-from corklift.net.monitoring import DiscoveryWatch, ServerProbes
+from corklift.net.monitoring import ServerProbes
 from corklift.net.parsers import Listing
 from corklift.net.scheduler import WRITE, Scheduler, wall_clock
 from corklift.rpc.server import RpcServer
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -19,6 +19,8 @@
 SECOND = 1_000 * MS
 # Standard streams, listener, signal socket pair, and some that the interpreter opens.
 RESERVED_DESCRIPTORS = 8
+# Maximum number of connections to discovery: the watch, and calls beside a response that stalls.
+WATCH_CONNECTIONS = 3
 # Share of the memory for the ring buffers of clients and their servers.
 BUFFER_SHARE = 1 / 16
 # Memory of a relayed client with full buffers, a greenlet, and the decisions' records of it.
@@ -113,8 +115,13 @@
     # Maximum time from the start of a failed call to the next call; a late answer to that one still
     # comes within `LIST_DEADLINE`.
     watch_interval: int = LIST_DEADLINE * 5 // 8
-    # How long an answer that has begun may stall; less than the minimum grace period of a drain.
+    # How long a response that has begun may stall before discovery is called beside it. With the
+    # second call's response that is less than the minimum grace period of a drain.
     watch_stall: int = 100 * MS
+    # Random part of that time, so that balancers don't call together.
+    watch_stall_spread: int = 0
+    # Whether discovery is an agent on this machine, which answers at once and at no cost.
+    discovery_is_local: bool = False
     # Mean delay after a failed call to discovery, doubled after each further failure ...
     watch_pause: int = 50 * MS
     # ... up to this value.
@@ -202,7 +209,13 @@
         waiting = max(8, sockets // 8)
         calls = max(4, min(32, sockets // 16)) if operated else 0
         remaining = (
-            sockets - RESERVED_DESCRIPTORS - probes - waiting - 2 - (calls + 1 if operated else 0)
+            sockets
+            - RESERVED_DESCRIPTORS
+            - WATCH_CONNECTIONS
+            - probes
+            - waiting
+            - 1
+            - (calls + 1 if operated else 0)
         )
         # Half of the memory is for relayed clients.
         clients_by_memory = int(memory * (1 << 20) / 2) // CLIENT_BYTES
@@ -229,8 +242,9 @@
 
 
 def _list_times(ask_within: int, ask_for_list: bool) -> dict[str, int]:
-    """Returns the times of the list watch, as shares of the time when a change counts as known.
+    """Returns the limits of the list watch.
 
+    The times are shares of the time when a change counts as known.
     Where lists are asked for, a change counts as known four times `ask_within` after a failed call,
     if that is less than `LIST_DEADLINE`. Where they are pushed, one counts as known as soon as the
     agent on this machine has it, so that the pause after any failure is shorter than the grace
@@ -249,6 +263,8 @@
         else longest_pause,
         overbooked_pause_most=longest_pause,
         first_call_spread=min(ask_within // 5, deadline // 3) if ask_for_list else 0,
+        watch_stall_spread=Limits.watch_pause if ask_for_list else 0,
+        discovery_is_local=not ask_for_list,
     )
 
 
--- a/corklift/service.py
+++ b/corklift/service.py
@@ -23,11 +23,12 @@
 from corklift.net.admin import Admin, AdminHandler, format_stats
 from corklift.net.blocking import listening_socket
 from corklift.net.collector import prepare_collector
+from corklift.net.discovery_watch import DiscoveryWatch
 from corklift.net.facade import Facade
 from corklift.net.handover_driver import HandoverDriver
 from corklift.net.handover_files import handover_directory
 from corklift.net.limits import MS, SECOND, ConfigError, Counters, LogWriter, SecondSummary
-from corklift.net.monitoring import DiscoveryWatch, ServerProbes
+from corklift.net.monitoring import ServerProbes
 from corklift.net.relay import Relay
 from corklift.net.scheduler import WRITE, Scheduler, wall_clock
 from corklift.net.stream import Stream
