A call to discovery reads nothing from its connection before that is up

Cause: ListCall.advance went on to read from a socket whose connect was still under way. Linux answers that with EAGAIN, other systems may say that it is not connected, and the call would end.

Change: it returns before that, and looks at the time for the connect.

--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -78,7 +78,8 @@
     ring: int = 8192
     # Maximum bytes of the ring buffers of all clients and their servers that hold something.
     buffers: int = 64 << 20
-    # Maximum bytes of an answer of discovery; parsing takes about ten times as much memory.
+    # Maximum bytes of an answer of discovery; parsing takes about ten times as much memory. As many
+    # incomplete answers as `WATCH_CONNECTIONS` are held at a time.
     body: int = 4 << 20
     # Time from a client's connect, or from its first PONG, to the end of its first line.
     first_line_time: int = 2 * SECOND
--- a/corklift/net/list_call.py
+++ b/corklift/net/list_call.py
@@ -57,7 +57,7 @@
         self.stream, self.index, self.wait = stream, index, wait
         self._request, self._times, self._now = request, times, now
         self.response = HttpResponse(max_body)
-        self.started_at = self.progress_at = now()  # when the latest bytes arrived
+        self.progress_at = now()  # when the call started or the latest bytes arrived
         self.began_at: int | None = None  # when the first bytes of the response arrived
         # When the call is given up if nothing happens before.
         self.deadline = times.connect_by
@@ -85,8 +85,9 @@
             Late: a deadline has passed.
             Malformed: the response does not follow the protocol.
         """
-        if not self._is_connected:
-            self._connect(events)
+        if not self._is_connected and not self._connect(events):
+            self._check_deadline()
+            return False
         self.stream.flush()
         while not self.response.done:
             self.stream.receive()
@@ -104,13 +105,14 @@
     def close(self) -> None:
         self.stream.close()
 
-    def _connect(self, events: int) -> None:
-        """Sends the request once the connection is up."""
+    def _connect(self, events: int) -> bool:
+        """Sends the request once the connection is up; returns whether it is."""
         if self.stream.broken or (events and self.stream.connect_failed()):
             raise Gone
         if events:
             self._is_connected = True
             self._send()
+        return self._is_connected
 
     def _send(self) -> None:
         self.deadline = self._times.begin_by
