--- a/tests/test_known_failures.py
+++ b/tests/test_known_failures.py
@@ -21,6 +21,12 @@
     assert read_known_failures(ENTRY) == {"tests/test_a.py::test_one[True]": 3}
 
 
+# The name of a test that has a parameter with a space was cut there.
+def test_the_name_of_a_test_may_have_spaces():
+    entry = ENTRY.replace("[True]", "[its settings]")
+    assert read_known_failures(entry) == {"tests/test_a.py::test_one[its settings]": 3}
+
+
 def test_an_entry_without_a_test_is_an_error():
     with pytest.raises(KnownFailuresError, match="entry 4"):
         read_known_failures(ENTRY + "\n4. Command: pytest\n   Issue: 41\n")
