Comments of the discovery watch give the reasons of its constants again

Cause: on a second reading WATCH_CONNECTIONS and MAX_DOUBLINGS stood without a reason, that of watch_stall was hard to follow, and comments of three tests were not exact (where an answer is cut, and what bounds the number of calls).

Change: comments only; no check, bound or name differs.

--- a/corklift/net/discovery_watch.py
+++ b/corklift/net/discovery_watch.py
@@ -23,7 +23,7 @@
 from corklift.net.stream import Stream
 
 LIST_PATH = "/registry/instances"
-# The interval between calls beside stalled ones is doubled at most so many times.
+# How often the interval between calls beside stalled ones is doubled: then it outlasts a call.
 MAX_DOUBLINGS = 8
 
 
--- a/corklift/net/limits.py
+++ b/corklift/net/limits.py
@@ -19,7 +19,8 @@
 SECOND = 1_000 * MS
 # Standard streams, listener, signal socket pair, and some that the interpreter opens.
 RESERVED_DESCRIPTORS = 8
-# Maximum number of connections to discovery: the watch, and calls beside a response that stalls.
+# Maximum number of connections to discovery: the watch, and calls beside a response that stalls. So
+# many that no response is given up for a later call within the minimum grace period of a drain.
 WATCH_CONNECTIONS = 4
 # Share of the memory for the ring buffers of clients and their servers.
 BUFFER_SHARE = 1 / 16
@@ -116,8 +117,8 @@
     # Maximum time from the start of a failed call to the next call; a late answer to that one still
     # comes within `LIST_DEADLINE`.
     watch_interval: int = LIST_DEADLINE * 5 // 8
-    # How long a response that has begun may stall before discovery is called beside it. With the
-    # second call's response that is less than the minimum grace period of a drain.
+    # How long a response that has begun may stall before discovery is called beside it. Several may
+    # stall in a row within the minimum grace period of a drain.
     watch_stall: int = 100 * MS
     # Random part of that time, so that balancers don't call together.
     watch_stall_spread: int = 0
--- a/tests/processes/test_cut_answers.py
+++ b/tests/processes/test_cut_answers.py
@@ -27,7 +27,7 @@
 GRACE, SLACK = 500 * MS, 50 * MS
 # Time between the first piece of an answer and what follows: half of the grace.
 PAUSE = GRACE // 2
-# Bytes of the first piece: in the status line, in the header, in the body, all but the last one.
+# Bytes of the first piece: in the status line, in the header, in the body, just before its end.
 SIZES = (1, 60, 160, 250)
 LOGINS_PER_SECOND = 25
 SETTINGS = {
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -261,7 +261,7 @@
         assert proxy.connected is False and not service.program.subscriptions.has_snapshot
         fleet.discovery.silent = False
         fleet.wait_for_servers(proxy, *ALL_SERVERS)
-        # In the middle of the body, or a little before it.
+        # In the middle of the body.
         fleet.discovery.next_cuts.extend([ResponseCut(CutKind.NOTHING, 150)] * 3)
         fleet.mark("s1", "leaving")
         wait_for(lambda: "s1" not in fleet.weights(proxy), 3)
--- a/tests/test_discovery_pieces.py
+++ b/tests/test_discovery_pieces.py
@@ -283,7 +283,7 @@
         harness.run(50)
         most_open = max(most_open, len(harness.process.watch._calls))
     assert most_open == WATCH_CONNECTIONS
-    # About as many as when each answer that stalls was given up.
+    # The interval doubles from 100 ms, so 10 s hold seven calls; a failure begins anew, once here.
     assert len(harness.calls) - before <= 14
     harness.usual_cut, back_at = None, harness.at
     harness.run_until(lambda: harness.drains("s1"))
