A test of names across an upgrade no longer counts a process's start in a client's 2 s

Cause: the test. The client gets its PONG from the earlier process and then waits with its login until the later one has started and serves. A client has 2 s from its first PONG to the end of its first line (`first_line_time`); a start beside four workers can take longer, and then the earlier process closes the silent client without an answer, as it should.

Change: the later process is started first and pauses when it has joined the others, before it serves; the client connects then. The check is the same, and what is left of real time is the moment from that pause to the login.

--- a/tests/test_names_across_upgrades.py
+++ b/tests/test_names_across_upgrades.py
@@ -16,6 +16,8 @@
     "permissions": CONFIG["settings"]["permissions"] | {"probes": True, "max-hand-offs": 3},
     "report": {"fields": ["x0", "inflight"]},
 }
+# Here a process has been started whole, and others still accept the clients.
+BEFORE_SERVING = "corklift.net.handover_driver:HandoverDriver.join"
 
 
 class Upgrade:
@@ -38,19 +40,29 @@
         self._agent.__exit__(*error)
         self.server.__exit__(*error)
 
-    def start_serving(self) -> RealProcess:
-        """Starts the next process; returns it once it accepts clients and the others don't."""
+    def start(self, point: str = "") -> RealProcess:
+        """Starts the next process; returns it at once, or when it pauses at the point."""
         process = RealProcess(
             self._directory,
+            point,
             inherited=self._listener,
             discovery=self._agent.address,
             known=self.server.known(),
             settings=SETTINGS,
         )
         self._processes.append(process)
-        process.wait_for_log(f"process {len(self._processes)} of this balancer is serving")
         return process
 
+    def start_serving(self) -> RealProcess:
+        """Starts the next process; returns it once it accepts clients and the others don't."""
+        process = self.start()
+        self.wait_until_serving(process)
+        return process
+
+    def wait_until_serving(self, process: RealProcess) -> None:
+        number = 1 + self._processes.index(process)
+        process.wait_for_log(f"process {number} of this balancer is serving")
+
     def connect(self) -> socket.socket:
         return socket.create_connection(self._listener.getsockname(), 10)
 
@@ -88,10 +100,13 @@
 def test_name_of_a_connection_at_the_later_process_is_refused_by_the_earlier_one(tmp_path):
     with Upgrade(tmp_path) as balancer:
         balancer.start_serving()
+        later = balancer.start(BEFORE_SERVING)
+        # From its PONG on, the client has `first_line_time` for its login; a start may take longer.
         accepted = balancer.connect()
         accepted.sendall(b"PING\r\n")
         assert accepted.recv(100) == b"PONG\r\n"
-        balancer.start_serving()
+        later.go_on()
+        balancer.wait_until_serving(later)
         standing = balancer.log_in(b"a1")
         assert balancer.answer(b"a1", accepted) == b"ERR\r\n"
         standing.sendall(b"hello\r\n")
