A test of rejected files reads the log lines of rejections, not the last line

Cause: the test took the last line of the log for that of the rejected file. Nobody answers at this process's discovery, which it logs as well, and such a line came in between.

Change: the last of the lines that reject a file is read, and their number is checked too, which the old test did not do.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -20,6 +20,8 @@
 from corklift.settings import find_missing_key
 
 SECOND = 1000 * MS
+# The end of the log line of a rejected configuration.
+STAYS_IN_FORCE = "the old configuration stays in force"
 WORKLOAD = {
     "name": "plain",
     "effect": "token",
@@ -240,7 +242,7 @@
                 assert harness.counters["configurations refused"] == refused, (path, case)
                 key = path.rpartition(".")[2]
                 line = harness.trace.pop()
-                assert key in line and line.endswith("the old configuration stays in force"), line
+                assert key in line and line.endswith(STAYS_IN_FORCE), line
     assert refused > 500 and not touched and not harness.counters["configurations taken"]
     assert state == (process.configuration, process.limits, process.port, process.log_writer.limits)
     files.append(base)
@@ -290,8 +292,11 @@
         ):
             balancer.path.write_text(json.dumps(changed(path, CASES[case], other)))
             balancer.signal(signal.SIGHUP)
-            balancer.wait_for_log("the old configuration stays in force", count)
-            assert path.rpartition(".")[2] in balancer.log.splitlines()[-1]
+            balancer.wait_for_log(STAYS_IN_FORCE, count)
+            # Other lines come between, such as those of a discovery that nobody answers.
+            rejections = [line for line in balancer.log.splitlines() if STAYS_IN_FORCE in line]
+            assert len(rejections) == count
+            assert path.rpartition(".")[2] in rejections[-1]
             assert read_all(balancer.connect(LOGIN % b"k%d" % count)) != b"ERR\r\n"
         balancer.path.write_text(json.dumps(other))
         balancer.signal(signal.SIGHUP)
@@ -299,6 +304,6 @@
         assert read_all(balancer.connect(LOGIN % b"c2")) == b"ERR\r\n"
         balancer.path.write_text("{")
         balancer.signal(signal.SIGTERM, signal.SIGHUP)
-        balancer.wait_for_log("the old configuration stays in force", 4)
+        balancer.wait_for_log(STAYS_IN_FORCE, 4)
         code, log = balancer.end()
         assert code == 0 and "exception" not in log
