--- a/corklift/net/connection_names.py
+++ b/corklift/net/connection_names.py
@@ -14,10 +14,11 @@
 import os
 import struct
 from collections.abc import Callable, Collection
-from hashlib import blake2b
 from mmap import PROT_READ, mmap
 from typing import NamedTuple
 
+from corklift.net.digests import blake2b
+
 KEY_BYTES = 16
 _HEADER = struct.Struct(f"<{KEY_BYTES}sQ")  # key of the hash, number of buckets
 _SLOT = struct.Struct("<QQ")  # hash of a name, time until which the name is reserved
--- a/corklift/net/parsers.py
+++ b/corklift/net/parsers.py
@@ -11,10 +11,10 @@
 import math
 import re
 from abc import ABC, abstractmethod
-from hashlib import blake2b
 from typing import Any, NamedTuple
 
 from corklift.interface import Status
+from corklift.net.digests import blake2b
 
 PING, PONG, STATS = b"PING\r\n", b"PONG\r\n", b"STATS\r\n"
 MOVE, FAILED, BUSY, ERR = b"MOVE\r\n", b"FAILED\r\n", b"BUSY\r\n", b"ERR\r\n"
