The newest server list passes between the processes of an upgrade

After an upgrade of the balancer logins went to the draining server until discovery was back.

Cause: the processes of a balancer share loads, failures, overrides and names, not the server list. The new one acted on `known` of its configuration file.

Change: while another process runs, each writes its list to N.servers when it has changed, before it may yield; the one that begins to serve takes over the newest, if that is newer than its own and from the same discovery. Discovery's next answer counts, also with a lower index: then its whole list is asked for. An unreadable file is logged, and the list of the file is used as before.

--- a/corklift/handover.py
+++ b/corklift/handover.py
@@ -66,8 +66,28 @@
     """An encoded state is incomplete or has another format."""
 
 
+def add_checksum(content: bytes) -> bytes:
+    """Returns the content of a file for other processes: a header line with a checksum first."""
+    return b"%b %08x\n%b" % (FORMAT_HEADER, zlib.crc32(content), content)
+
+
+def check_content(data: bytes) -> bytes:
+    """Returns the content after the header line.
+
+    Raises:
+        UnreadableStateError: it is incomplete or has another format.
+    """
+    head, _, content = data.partition(b"\n")
+    header, _, check = head.rpartition(b" ")
+    if header != FORMAT_HEADER:
+        raise UnreadableStateError(f"unknown format {header[:20]!r}")
+    if check != b"%08x" % zlib.crc32(content):
+        raise UnreadableStateError("the checksum does not match")
+    return content
+
+
 def encode(state: ProcessState) -> bytes:
-    """Returns the content of a state file: a header line with a checksum, then JSON."""
+    """Returns the content of a state file."""
     content = json.dumps(
         {
             "generation": state.generation,
@@ -77,7 +97,7 @@
             "learned": state.learned_state,
         }
     ).encode()
-    return b"%b %08x\n%b" % (FORMAT_HEADER, zlib.crc32(content), content)
+    return add_checksum(content)
 
 
 def decode(data: bytes) -> ProcessState:
@@ -86,12 +106,7 @@
     Raises:
         UnreadableStateError: the content is incomplete or has another format.
     """
-    head, _, content = data.partition(b"\n")
-    header, _, check = head.rpartition(b" ")
-    if header != FORMAT_HEADER:
-        raise UnreadableStateError(f"unknown format {header[:20]!r}")
-    if check != b"%08x" % zlib.crc32(content):
-        raise UnreadableStateError("the checksum does not match")
+    content = check_content(data)
     try:
         document = json.loads(content)
         overrides = {
--- a/corklift/net/discovery_watch.py
+++ b/corklift/net/discovery_watch.py
@@ -18,7 +18,13 @@
 from corklift.net.facade import Facade
 from corklift.net.limits import WATCH_CONNECTIONS, Counters, Limits, LogWriter
 from corklift.net.list_call import CallTimes, ListCall
-from corklift.net.parsers import Malformed, MessageTooLongError, format_http_get, parse_listing
+from corklift.net.parsers import (
+    Listing,
+    Malformed,
+    MessageTooLongError,
+    format_http_get,
+    parse_listing,
+)
 from corklift.net.scheduler import Scheduler, Task
 from corklift.net.stream import Stream
 
@@ -98,6 +104,24 @@
                 # Otherwise the watch would keep waiting for the old address.
                 self._scheduler.interrupt(self._task, AddressChangedError())
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """The address of discovery."""
+        return self._address
+
+    def adopt(self, listing: Listing) -> bool:
+        """Applies a list that another process of this balancer has from the same discovery.
+
+        Returns whether it is newer than the known one; otherwise it changes nothing. If discovery
+        has an earlier version, its next answers tell so, and its full list replaces this one.
+        """
+        known_version = self._facade.server_list.version
+        if known_version is not None and listing.version <= known_version:
+            return False
+        self._facade.apply_listing(Scope.CACHED, listing)
+        self._index = listing.version
+        return True
+
     def watch_loop(self) -> None:
         """Watches discovery for the lifetime of the process."""
         self._task = self._scheduler.current
--- a/corklift/net/facade.py
+++ b/corklift/net/facade.py
@@ -36,6 +36,7 @@
     stable_id,
 )
 from corklift.net.scheduler import Scheduler, Task
+from corklift.net.server_list import ServerList
 from corklift.policy import Balancer
 
 _SERVER_NUMBER = re.compile(r"server (\d+)")
@@ -126,6 +127,8 @@
         self._listed: set[int] = set()  # ready and draining servers in the list
         # Names of the servers that operators have taken out of service, listed or not.
         self._out_of_service: dict[int, str] = {}
+        # As discovery has told it, before recovery amends it.
+        self.server_list = ServerList()
         self._probed: set[int] = set()  # servers with at least one finished probe
         self._timers: list[tuple[int, int]] = []
         self._timer_task: Task | None = None
@@ -548,6 +551,7 @@
 
     def apply_listing(self, scope: Scope, content: Listing) -> None:
         """Applies the server list or an update of it."""
+        self.server_list.apply(content)
         content = self.recovered_list(scope, content)
         self._cached_present_ids = None
         servers = []
--- a/corklift/net/handover_driver.py
+++ b/corklift/net/handover_driver.py
@@ -11,12 +11,14 @@
 import os
 from collections.abc import Callable
 
-from corklift.handover import Handover, ProcessState, Stage
+from corklift.handover import Handover, ProcessState, Stage, UnreadableStateError
+from corklift.net.discovery_watch import DiscoveryWatch
 from corklift.net.facade import Facade
 from corklift.net.handover_files import HandoverFiles
 from corklift.net.limits import Counters, Limits
 from corklift.net.relay import Relay
 from corklift.net.scheduler import Scheduler
+from corklift.net.server_list import decode_server_list, encode_server_list
 
 
 class HandoverDriver:
@@ -30,6 +32,7 @@
         log: Callable[[str], None],
         facade: Facade,
         relay: Relay,
+        watch: DiscoveryWatch,
         path: str | None,
         socket_shared: bool,
     ) -> None:
@@ -40,9 +43,10 @@
             socket_shared: whether the processes share the listening socket.
         """
         self._scheduler, self._limits, self._counters, self._log = scheduler, limits, counters, log
-        self._facade, self._relay, self._path, self._socket_shared = (
+        self._facade, self._relay, self._watch, self._path, self._socket_shared = (
             facade,
             relay,
+            watch,
             path,
             socket_shared,
         )
@@ -50,6 +54,9 @@
         self._handover = Handover(0)
         self._has_yielded = False  # the learned state is part of the written state
         self._written_client_count = 0  # the client count in the state written last
+        # Discovery and version of the server list written last.
+        self._written_list: tuple[tuple[str, int], int] | None = None
+        self._list_write_failed = False  # in the last try; it is repeated
         self._is_written = True  # whether the last write succeeded; it is repeated otherwise
         # Load of the connections that ended at earlier processes and was already applied, by
         # generation and server.
@@ -131,6 +138,7 @@
         self._handover.leave()
         if self._socket_shared and self._files is not None:
             self._relay.set_accepting(False)
+            self._write_server_list()
             self._write_state()
 
     # Internals
@@ -197,6 +205,45 @@
                         f"cannot write the state for the balancer's other processes: {problem}"
                     )
 
+    def _write_server_list(self) -> None:
+        """Writes the server list for the other processes, if it has changed."""
+        version = self._facade.server_list.version
+        if self._files is None or version is None:
+            return
+        described = (self._watch.address, version)
+        if described == self._written_list:
+            return
+        try:
+            self._files.write_server_list(
+                encode_server_list(self._watch.address, self._facade.server_list.listing())
+            )
+            self._written_list, self._list_write_failed = described, False
+        except OSError as problem:
+            self._counters["files that can't be written"] += 1
+            if not self._list_write_failed:  # told once, not at each look
+                self._log(f"other processes of this balancer can't see its server list: {problem}")
+            self._list_write_failed = True
+
+    def _adopt_server_list(self) -> None:
+        """Takes over the newest list of the other processes, if it is newer than the known one.
+
+        Discovery may be down: a drain that one process has learned holds for the balancer.
+        """
+        assert self._files is not None
+        listings = []
+        for content in self._files.read_server_lists():
+            try:
+                discovery, listing = decode_server_list(content)
+            except UnreadableStateError as problem:
+                self._log(f"ignoring the server list of another process: {problem}")
+                continue
+            if discovery == self._watch.address:
+                listings.append(listing)
+        newest = max(listings, key=lambda listing: listing.version, default=None)
+        if newest is not None and self._watch.adopt(newest):
+            self._counters["server lists taken over"] += 1
+            self._log(f"server list {newest.version} taken over from another process")
+
     def _merge_overrides(self, states: list[ProcessState]) -> None:
         for name, out_of_service in (
             sorted(self._handover.merge_overrides(states).items())
@@ -223,6 +270,8 @@
         self._relay.clients_elsewhere = sum(state.client_count for state in running)
         for state in running + ended if self._handover.stage is Stage.SERVING else []:
             self._apply_ended_connections(state)
+        if running:
+            self._write_server_list()  # before this process may yield
         while self._handover.advance(running, self._relay.ready):
             self._apply_stage(running)
             self._write_state()
@@ -247,6 +296,7 @@
         self._log(f"process {self._handover.generation} of this balancer is {stage.value}")
         self._relay.set_accepting(stage is Stage.SERVING)
         if stage is Stage.SERVING:
+            self._adopt_server_list()
             for state in running:
                 if state.learned_state and state.generation not in self._imported_generations:
                     self._imported_generations.add(state.generation)
--- a/corklift/net/handover_files.py
+++ b/corklift/net/handover_files.py
@@ -1,11 +1,11 @@
 """The state files through which the processes of one balancer exchange state during an upgrade.
 
-They are in a directory that outlives the processes. Each process owns three files there, named by
-its generation N: `N.lock`, which it keeps locked while it runs; `N.life`, its state; and `N.names`,
-its table of connection names, which others read without a lock. A state file
-has a few hundred bytes; it is written to a temporary file and renamed, so that readers never see a
-part of it. A file with unreadable content is logged and ignored. Files of a running process are
-never removed by another one.
+They are in a directory that outlives the processes. Each process owns files there, named by its
+generation N: `N.lock`, which it keeps locked while it runs; `N.life`, its state; `N.names`, its
+table of connection names, which others read without a lock; and, once another process runs,
+`N.servers`, its server list. A state file has a few hundred bytes; like the list, it is written to
+a temporary file and renamed, so that readers never see a part of it. A file with unreadable content
+is logged and ignored. Files of a running process are never removed by another one.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 from corklift.handover import ProcessState, UnreadableStateError, decode, encode
 
 MAX_FILE_BYTES = 1 << 20
+MAX_LIST_BYTES = 8 << 20
 
 
 def handover_directory(base: str | None, name: str) -> str | None:
@@ -69,10 +70,31 @@
 
     def write_state(self, state: ProcessState) -> None:
         """Replaces the state file of this process."""
+        self._replace_file("life", encode(state))
+
+    def write_server_list(self, content: bytes) -> None:
+        """Replaces the file of the server list that this process knows."""
+        self._replace_file("servers", content)
+
+    def read_server_lists(self) -> list[bytes]:
+        """Returns the contents of the server lists of all other processes, running or ended."""
+        contents = []
+        for generation in self._generations():
+            path = self._file_path("servers", generation)
+            if generation == self.generation or not os.path.exists(path):
+                continue
+            try:
+                with open(path, "rb") as file:
+                    contents.append(file.read(MAX_LIST_BYTES))
+            except OSError as problem:
+                self._log(f"cannot read the server list of an earlier process: {problem}")
+        return contents
+
+    def _replace_file(self, kind: str, content: bytes) -> None:
         temporary_path = self._file_path("new")
         with open(temporary_path, "wb") as file:
-            file.write(encode(state))
-        os.rename(temporary_path, self._file_path("life"))
+            file.write(content)
+        os.rename(temporary_path, self._file_path(kind))
 
     def create_name_table(self) -> BinaryIO:
         """Creates the file of this process's table of connection names.
@@ -113,7 +135,7 @@
         Call it only once this process has written a state that includes theirs.
         """
         for state in ended:
-            for kind in ("life", "new", "names", "lock"):
+            for kind in ("life", "new", "names", "servers", "lock"):
                 try:
                     os.unlink(self._file_path(kind, state.generation))
                 except OSError:
--- a/corklift/service.py
+++ b/corklift/service.py
@@ -128,6 +128,18 @@
             "{}:{}".format(*configuration.listen) if configuration.listen[1] else ""
         )
         directory = handover_directory(os.environ.get("TMPDIR"), name)
+        self.watch = DiscoveryWatch(
+            scheduler,
+            limits,
+            self.counters,
+            self.log_writer,
+            self.facade,
+            configuration.discovery,
+            Random(configuration.seed ^ 1),
+            configuration.known.version
+            if configuration.known.is_full and configuration.known.entries
+            else None,
+        )
         self.handover = HandoverDriver(
             scheduler,
             limits,
@@ -135,24 +147,13 @@
             lambda text: self.log_writer.write(text, always=True),
             self.facade,
             self.relay,
+            self.watch,
             directory,
             self._inherits_socket,
         )
         self.probes = ServerProbes(
             scheduler, limits, self.counters, self.facade, configuration.probe_keepalive
         )
-        self.watch = DiscoveryWatch(
-            scheduler,
-            limits,
-            self.counters,
-            self.log_writer,
-            self.facade,
-            configuration.discovery,
-            Random(configuration.seed ^ 1),
-            configuration.known.version
-            if configuration.known.is_full and configuration.known.entries
-            else None,
-        )
         self.admin = Admin(scheduler, limits, self.counters, AdminHandler(self))
         self.admin_port = self.admin.listen(configuration.admin) if configuration.admin else 0
         self._stopping = False
--- a/tests/test_crossings_succession.py
+++ b/tests/test_crossings_succession.py
@@ -19,6 +19,8 @@
 from corklift.net.connection_names import ConnectionNames
 from corklift.net.handover_driver import HandoverDriver
 from corklift.net.limits import Counters, Limits
+from corklift.net.parsers import Listing
+from corklift.net.server_list import ServerList, decode_server_list
 
 # With this one, a process takes up to 3.4 s to end.
 LONG_WORKLOAD = WORKLOAD | {"time-limit-ns": 3_000 * MS}
@@ -239,12 +241,16 @@
 
 
 class Stub:
-    """Stands for the relay and the decisions of a process; records what its driver sets."""
+    """Stands for the relay, the decisions and the list watch of a process.
+
+    It records what its driver sets.
+    """
 
     def __init__(self) -> None:
         self.ready, self.accepts, self.on_standby, self.client_count = True, False, False, 0
         self.clients_elsewhere = 0
         self.names = ConnectionNames(lambda: 1, Limits.name_time, Limits.name_table)
+        self.server_list = ServerList()  # of which nothing is known
 
     def set_accepting(self, accepting):
         self.accepts = accepting
@@ -265,7 +271,9 @@
 def make_driver(directory):
     stub, counters = Stub(), Counters()
     log = []
-    driver = HandoverDriver(None, None, counters, log.append, stub, stub, str(directory), True)
+    driver = HandoverDriver(
+        None, None, counters, log.append, stub, stub, stub, str(directory), True
+    )
     driver.join()
     return driver, stub, log
 
@@ -330,3 +338,27 @@
     second, at_second, _ = make_driver(tmp_path)
     second._poll()
     assert at_second.accepts and not at_first.accepts
+
+
+@pytest.mark.parametrize("failures", [1, 3])
+def test_a_server_list_that_could_not_be_written_is_written_at_the_next_look(tmp_path, failures):
+    first, at_first, log = make_driver(tmp_path)
+    at_first.address = ("127.0.0.1", 80)
+    at_first.server_list.apply(Listing(3, True, (), 0))
+    second, _, _ = make_driver(tmp_path)
+    write, left = first._files.write_server_list, [None] * failures
+
+    def write_server_list(content):
+        if left:
+            left.pop()
+            raise OSError(28, "no space")
+        write(content)
+
+    first._files.write_server_list = write_server_list
+    for _ in range(failures):
+        first._poll()
+        assert not second._files.read_server_lists()
+    first._poll()
+    (content,) = second._files.read_server_lists()
+    assert decode_server_list(content) == (at_first.address, Listing(3, True, (), 0))
+    assert len([line for line in log if "can't see its server list" in line]) == 1
