Silent clients are waited for less and less where most of those waited for are

Cause: an eighth of the descriptors are places for clients without a login. Each client there was waited for as long as clients lately needed for their line, which slow writers had raised to 0.5 s: 32 silent ones each half second.

Change: PendingClients keeps the share of clients closed without a line among those waited for, one for clients without a byte and one for those with a part of their line. Beyond a half the time to wait falls with the square of the rest; the share halves in 5 s. Lines that are late but come don't raise it.

--- a/corklift/net/pending.py
+++ b/corklift/net/pending.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from corklift.net.limits import MS, Limits
+from corklift.net.limits import MS, SECOND, Limits
 from corklift.net.scheduler import Task
 from corklift.net.stream import Stream
 
@@ -23,6 +23,8 @@
 MAX_WAIT = 150 * MS
 # ... and the share of the time by which that recovers.
 WAIT_RECOVERY = 0.1
+# The time after which the share of silent clients halves if nobody is waited for.
+SILENCE_HALF_LIFE = 5 * SECOND
 
 
 class UnreadClose(Enum):
@@ -41,6 +43,7 @@
     task: Task
     accepted_at: int
     has_sent_line: bool = False
+    has_sent_part: bool = False  # of its line, while others waited for a place
     is_rejected: bool = False  # its answer has been written
     close_reason: UnreadClose | None = None  # why it has to be closed at once
 
@@ -61,6 +64,31 @@
         return int(self._mean + DEVIATIONS * self._deviation)
 
 
+class SilentShare:
+    """Estimates the share of clients that send no line, of those that were waited for lately."""
+
+    def __init__(self) -> None:
+        self._share = 0.0
+        self._updated_at = 0
+
+    def add(self, was_silent: bool, now: int, places: int) -> None:
+        """Counts a client, of as many as there are places at a time."""
+        self._share = self.at(now)
+        self._share += (was_silent - self._share) / places
+        self._updated_at = now
+
+    def at(self, now: int) -> float:
+        return self._share * 0.5 ** ((now - self._updated_at) / SILENCE_HALF_LIFE)
+
+    def patience(self, now: int, longest: int) -> int:
+        """Returns how long a client is waited for: less and less, the more of them are silent.
+
+        Otherwise silent clients that hold all places in turn, each for the longest time, would keep
+        others in the queue of the listening socket beyond their time limit.
+        """
+        return int(longest * min(1.0, 2 * (1 - self.at(now))) ** 2)
+
+
 class WaitBudget:
     """Bounds the time for which nobody is closed although others wait for a place, in ns."""
 
@@ -84,6 +112,8 @@
     def __init__(self) -> None:
         self._clients: dict[Stream, PendingClient] = {}
         self._first_line_time = FirstLineTime()
+        # Of the clients that have sent no byte, and of those that have sent a part of their line.
+        self._silent_share, self._unfinished_share = SilentShare(), SilentShare()
         self._wait_budget = WaitBudget()
 
     def __len__(self) -> int:
@@ -96,12 +126,15 @@
         """Forgets a client that was admitted or closed; one that is not pending is ignored."""
         self._clients.pop(stream, None)
 
-    def line_received(self, stream: Stream, now: int) -> None:
-        """Called for each line of a pending client."""
+    def line_received(self, stream: Stream, now: int, places: int) -> None:
+        """Called for each line of a pending client; there are so many places for such clients."""
         client = self._clients[stream]
         if not client.has_sent_line:
             client.has_sent_line = True
             self._first_line_time.add(now - client.accepted_at)
+            self._silent_share.add(False, now, places)
+            if client.has_sent_part:
+                self._unfinished_share.add(False, now, places)
 
     def rejected(self, stream: Stream) -> None:
         """Called when a client's rejection has been written, and it has yet to close."""
@@ -119,20 +152,42 @@
         Returns their tasks. Rejected clients go first, then those that have been silent for longer
         than others lately needed for their line; the line of a younger one may be on its way. The
         lines of a burst are later than those before it, so these too are waited for, within a
-        budget. An eighth of the limit is chosen at a time; otherwise hundreds of silent clients
-        would delay those that connect after them.
+        budget. Where most of them never send a line, they are waited for less and less. An eighth
+        of the limit is chosen at a time; otherwise hundreds of silent clients would delay those
+        that connect after them.
         """
-        patience = min(self._first_line_time.upper_estimate, limits.eviction_patience)
-        staying = [client for client in self._clients.values() if client.close_reason is None]
-        evicted = [client for client in staying if client.is_rejected]
+        staying = {
+            stream: client
+            for stream, client in self._clients.items()
+            if client.close_reason is None
+        }
+        evicted = [client for client in staying.values() if client.is_rejected]
         if not evicted and self._wait_budget.remains(now):
             return []
-        evicted += [
-            client
-            for client in staying
-            if not client.is_rejected and now - client.accepted_at >= patience
-        ]
-        return list(self._close(evicted[: 1 + limits.waiting // 8], UnreadClose.NO_ROOM))
+        evicted += self._overdue(staying, now, limits)
+        evicted = evicted[: 1 + limits.waiting // 8]
+        for client in evicted:
+            if not client.is_rejected:
+                self._share_of(client).add(True, now, limits.waiting)
+        return list(self._close(evicted, UnreadClose.NO_ROOM))
+
+    def _overdue(
+        self, staying: dict[Stream, PendingClient], now: int, limits: Limits
+    ) -> list[PendingClient]:
+        """Returns the clients whose line has been waited for long enough, the oldest first."""
+        longest = min(self._first_line_time.upper_estimate, limits.eviction_patience)
+        silent = self._silent_share.patience(now, longest)
+        unfinished = self._unfinished_share.patience(now, longest)
+        overdue = []
+        for stream, client in staying.items():
+            client.has_sent_part = client.has_sent_part or len(stream.receive_buffer) > 0
+            patience = unfinished if client.has_sent_part else silent
+            if not client.is_rejected and now - client.accepted_at >= patience:
+                overdue.append(client)
+        return overdue
+
+    def _share_of(self, client: PendingClient) -> SilentShare:
+        return self._unfinished_share if client.has_sent_part else self._silent_share
 
     def waited(self, duration: int) -> None:
         """Called after a time in which others waited for a place and nobody was chosen."""
--- a/corklift/net/relay.py
+++ b/corklift/net/relay.py
@@ -237,7 +237,7 @@
             client.receive()
             line = client.read_line()
             if line is not None:
-                self._pending.line_received(client, self._now())
+                self._pending.line_received(client, self._now(), self._limits.waiting)
             if line is not None and len(client.receive_buffer):
                 # Pipelining is rejected: it would allow hundreds of commands at once.
                 raise Malformed("more than one line at once")
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -1,8 +1,10 @@
 """Tests of the clients that hold a descriptor without a login, and of which of them make room."""
 
+import pytest
 from harness import MS, BalancerHarness
 
-from corklift.net.pending import FirstLineTime
+from corklift.net.limits import SECOND
+from corklift.net.pending import FirstLineTime, SilentShare
 from corklift.net.stream import Stream
 
 # The limits of this deployment: 5 clients with a login, 8 pending ones.
@@ -93,6 +95,50 @@
     )
 
 
+# Each round of silent clients was waited for as long as slow writers had needed, and a whole line
+# lay in the queue of the listening socket beyond its time: review/7.
+@pytest.mark.parametrize("steps", [(), ("O", 100) * 30], ids=["silent", "a byte each 100 ms"])
+def test_line_behind_hundreds_of_silent_clients_is_answered_in_its_time(steps):
+    harness = full_balancer()
+    for number in range(16):
+        line, pieces = LOGIN.format(f"7{number:02}"), ()
+        if number % 4 == 3:
+            pieces = (line[:1], 100, line[1:5], 100, line[5:9], 100, line[9:12], 100, line[12:])
+        harness.client(f"before{number}", *(pieces or (line,)))
+        harness.run(500)
+    for number in range(200):
+        harness.client(f"silent{number}", *steps)
+    harness.client("last", LOGIN.format("99"))
+    harness.run(2000)  # its time limit
+    assert answered(harness, "last") == {"last"}
+
+
+def test_clients_that_write_slowly_keep_their_place_among_silent_ones():
+    harness = full_balancer()
+    for number in range(16):
+        harness.client(f"before{number}", 60, LOGIN.format(f"7{number:02}"))
+        harness.run(100)
+    for number in range(100):
+        harness.client(f"silent{number}")
+    harness.client("slow", "OPEN 99 7f c=pl", 40, "ain,d=2000\r\n")
+    harness.run(2000)
+    assert answered(harness, "slow") == {"slow"}
+
+
+def test_clients_are_waited_for_less_the_more_of_them_are_silent():
+    share = SilentShare()
+    assert share.patience(0, 500 * MS) == 500 * MS
+    for _ in range(200):
+        share.add(True, 0, 32)
+    assert share.patience(0, 500 * MS) < 10 * MS
+    for _ in range(32):
+        share.add(False, 0, 32)
+    assert share.patience(0, 500 * MS) == 500 * MS
+    for _ in range(200):
+        share.add(True, 0, 32)
+    assert share.patience(10 * SECOND, 500 * MS) == 500 * MS
+
+
 def test_the_estimate_follows_the_times_and_their_deviation():
     estimate = FirstLineTime()
     assert estimate.upper_estimate == 0
