Tests of upgrades share one class for the processes of a balancer

Three test files each had a class that starts the processes of one balancer on a shared listening socket and waits until the next one serves. It is SharedSocketBalancer in tests/real_process.py now; a process is always started whole before the one before it yields, which only one of them did. No check, bound or step of a test is changed.

--- a/tests/real_process.py
+++ b/tests/real_process.py
@@ -154,6 +154,63 @@
         return code, self.log
 
 
+# Here a process has opened the shared socket and written its first state, and accepts nobody yet.
+BEFORE_SERVING = "corklift.net.handover_driver:HandoverDriver.join"
+
+
+class SharedSocketBalancer:
+    """Processes of one balancer that share a listening socket, which the test holds.
+
+    Ended with the `with` block.
+    """
+
+    def __init__(self, directory, **configuration) -> None:
+        """Takes the configuration that differs from `CONFIG` in each of the processes."""
+        self.directory, self._configuration = directory, configuration
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.processes: list[RealProcess] = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error) -> None:
+        for process in self.processes:
+            process.__exit__(*error)
+        self.listener.close()
+
+    def start(self, point: str = "", **options) -> RealProcess:
+        """Starts the next process; returns it at once, or when it pauses at the point."""
+        process = RealProcess(
+            self.directory, point, inherited=self.listener, **self._configuration, **options
+        )
+        self.processes.append(process)
+        return process
+
+    def start_serving(self, before=lambda: None) -> RealProcess:
+        """Starts the next process; returns it once it accepts clients, and the others don't.
+
+        `before` is called when most of the start is over: clients that have sent no login are
+        closed after 2 s.
+        """
+        process = self.start(BEFORE_SERVING)
+        before()
+        process.go_on()
+        process.wait_for_log(f"process {len(self.processes)} of this balancer is serving")
+        return process
+
+    def connect(self, text: bytes = b"") -> socket.socket:
+        """Returns a client that has sent the text; it may be in the queue only."""
+        client = socket.create_connection(self.listener.getsockname(), 10)
+        client.sendall(text)
+        return client
+
+    def accepted(self) -> socket.socket:
+        """Returns a client that a process has accepted and that has sent no login yet."""
+        client = self.connect(b"PING\r\n")
+        assert client.recv(100) == b"PONG\r\n"
+        return client
+
+
 def read_all(client: socket.socket) -> bytes:
     """Returns what the client still receives until the connection ends in an orderly way."""
     with client:
--- a/tests/test_crossings_succession.py
+++ b/tests/test_crossings_succession.py
@@ -14,7 +14,14 @@
 
 import pytest
 from harness import MS
-from real_process import CONFIG, LOGIN, WORKLOAD, RealProcess, read_all
+from real_process import (
+    BEFORE_SERVING,
+    CONFIG,
+    LOGIN,
+    WORKLOAD,
+    SharedSocketBalancer,
+    read_all,
+)
 
 from corklift.net.connection_names import ConnectionNames
 from corklift.net.handover_driver import HandoverDriver
@@ -24,8 +31,6 @@
 
 # With this one, a process takes up to 3.4 s to end.
 LONG_WORKLOAD = WORKLOAD | {"time-limit-ns": 3_000 * MS}
-# A process has opened the shared socket and written its first state, and nothing of it runs yet.
-START = "corklift.net.handover_driver:HandoverDriver.join"
 
 
 class Discovery(threading.Thread):
@@ -58,62 +63,19 @@
             sock.close()
 
 
-class Succession:
-    """Processes of one balancer, and the socket that they share."""
+class Succession(SharedSocketBalancer):
+    """Processes of one balancer, with a discovery whose only server refuses connections."""
 
     def __init__(self, directory, **changed_settings) -> None:
-        self._directory, self._discovery = directory, Discovery()
-        self.changed_settings = changed_settings
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.processes: list[RealProcess] = []
-
-    def __enter__(self):
-        return self
+        self._discovery = Discovery()
+        settings = CONFIG["settings"] | changed_settings
+        settings = settings | {"permissions": settings["permissions"] | {"probes": True}}
+        super().__init__(directory, discovery=self._discovery.address, settings=settings)
 
     def __exit__(self, *error) -> None:
-        for process in self.processes:
-            process.__exit__(*error)
-        self.listener.close()
+        super().__exit__(*error)
         self._discovery.close()
 
-    def start(self, **options) -> RealProcess:
-        """Starts the next process."""
-        settings = CONFIG["settings"] | self.changed_settings
-        settings = settings | {"permissions": settings["permissions"] | {"probes": True}}
-        process = RealProcess(
-            self._directory,
-            inherited=self.listener,
-            discovery=self._discovery.address,
-            settings=settings,
-            **options,
-        )
-        self.processes.append(process)
-        return process
-
-    def start_serving(self, before=lambda: None) -> RealProcess:
-        """Starts the next process; returns it once it accepts clients, and the others don't.
-
-        `before` is called when most of the start is over: clients that have sent no login are
-        closed after 2 s.
-        """
-        process = self.start(point=START)
-        before()
-        process.go_on()
-        process.wait_for_log(f"process {len(self.processes)} of this balancer is serving")
-        return process
-
-    def connect(self, text=b"") -> socket.socket:
-        """Returns a client that has sent the text; it may be in the queue only."""
-        client = socket.create_connection(self.listener.getsockname(), 10)
-        client.sendall(text)
-        return client
-
-    def accepted(self) -> socket.socket:
-        """Returns a client that a process has accepted and that has sent no login yet."""
-        client = self.connect(b"PING\r\n")
-        assert client.recv(100) == b"PONG\r\n"
-        return client
-
 
 def log_in(client, name):
     """Sends the login and returns the client's answer."""
@@ -170,7 +132,7 @@
 def test_later_process_that_dies_before_it_serves_leaves_the_earlier_one_serving(tmp_path):
     with Succession(tmp_path) as balancer:
         first = balancer.start_serving()
-        second = balancer.start(point=START)
+        second = balancer.start(point=BEFORE_SERVING)
         held = balancer.accepted()
         time.sleep(0.2)  # some looks of the first process at the state of the second
         second.process.kill()
@@ -186,7 +148,7 @@
     with Succession(tmp_path) as balancer:
         first = balancer.start_serving()
         held = balancer.accepted()
-        second = balancer.start(point=START)
+        second = balancer.start(point=BEFORE_SERVING)
         first.signal(signal.SIGTERM)
         first.wait_for_log("told to stop")
         queued = [balancer.connect(LOGIN % b"q%d" % number) for number in range(3)]
@@ -227,7 +189,7 @@
     with Succession(tmp_path, workloads=[LONG_WORKLOAD]) as balancer:
         first = balancer.start_serving()
         held = balancer.accepted()
-        second = balancer.start(point=START)
+        second = balancer.start(point=BEFORE_SERVING)
         first.signal(signal.SIGTERM)
         first.wait_for_log("told to stop")
         second.go_on()
--- a/tests/test_names_across_upgrades.py
+++ b/tests/test_names_across_upgrades.py
@@ -6,7 +6,7 @@
 
 import pytest
 from line_server import Agent, LineServer
-from real_process import CONFIG, LOGIN, RealProcess, read_all
+from real_process import CONFIG, LOGIN, SharedSocketBalancer, read_all
 
 from corklift.net.connection_names import ConnectionNames
 from corklift.net.handover_files import HandoverFiles
@@ -16,55 +16,25 @@
     "permissions": CONFIG["settings"]["permissions"] | {"probes": True, "max-hand-offs": 3},
     "report": {"fields": ["x0", "inflight"]},
 }
-# Here a process has been started whole, and others still accept the clients.
-BEFORE_SERVING = "corklift.net.handover_driver:HandoverDriver.join"
 
 
-class Upgrade:
-    """Processes of one balancer with one server, which share a listening socket."""
+class Upgrade(SharedSocketBalancer):
+    """Processes of one balancer with one server."""
 
     def __init__(self, directory) -> None:
-        self._directory = directory
         self.server = LineServer()
         self._agent = Agent(self.server.known())
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self._processes: list[RealProcess] = []
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *error) -> None:
-        for process in self._processes:
-            process.__exit__(*error)
-        self._listener.close()
-        self._agent.__exit__(*error)
-        self.server.__exit__(*error)
-
-    def start(self, point: str = "") -> RealProcess:
-        """Starts the next process; returns it at once, or when it pauses at the point."""
-        process = RealProcess(
-            self._directory,
-            point,
-            inherited=self._listener,
+        super().__init__(
+            directory,
             discovery=self._agent.address,
             known=self.server.known(),
             settings=SETTINGS,
         )
-        self._processes.append(process)
-        return process
 
-    def start_serving(self) -> RealProcess:
-        """Starts the next process; returns it once it accepts clients and the others don't."""
-        process = self.start()
-        self.wait_until_serving(process)
-        return process
-
-    def wait_until_serving(self, process: RealProcess) -> None:
-        number = 1 + self._processes.index(process)
-        process.wait_for_log(f"process {number} of this balancer is serving")
-
-    def connect(self) -> socket.socket:
-        return socket.create_connection(self._listener.getsockname(), 10)
+    def __exit__(self, *error) -> None:
+        super().__exit__(*error)
+        self._agent.__exit__(*error)
+        self.server.__exit__(*error)
 
     def log_in(self, name: bytes, client: socket.socket | None = None) -> socket.socket:
         """Returns a client whose connection is up."""
@@ -100,15 +70,10 @@
 def test_name_of_a_connection_at_the_later_process_is_refused_by_the_earlier_one(tmp_path):
     with Upgrade(tmp_path) as balancer:
         balancer.start_serving()
-        later = balancer.start(BEFORE_SERVING)
-        # From its PONG on, the client has `first_line_time` for its login; a start may take longer.
-        accepted = balancer.connect()
-        accepted.sendall(b"PING\r\n")
-        assert accepted.recv(100) == b"PONG\r\n"
-        later.go_on()
-        balancer.wait_until_serving(later)
+        held = []
+        balancer.start_serving(lambda: held.append(balancer.accepted()))
         standing = balancer.log_in(b"a1")
-        assert balancer.answer(b"a1", accepted) == b"ERR\r\n"
+        assert balancer.answer(b"a1", held[0]) == b"ERR\r\n"
         standing.sendall(b"hello\r\n")
         assert standing.recv(100) == b"echo hello\r\n"
         assert len(balancer.server.logins) == 1
--- a/tests/test_server_list_across_upgrades.py
+++ b/tests/test_server_list_across_upgrades.py
@@ -6,13 +6,12 @@
 
 import json
 import signal
-import socket
 
 import pytest
 from harness import BalancerHarness
 from line_server import LineServer
 from loop import Loop, wait_for
-from real_process import CONFIG, LOGIN, RealProcess
+from real_process import BEFORE_SERVING, CONFIG, LOGIN, SharedSocketBalancer
 
 from corklift.handover import UnreadableStateError, add_checksum
 from corklift.interface import Status
@@ -28,74 +27,53 @@
 }
 # So many logins that with two equal servers one gets none once in 2^20 plays.
 LOGINS = 20
-BEFORE_SERVING = "corklift.net.handover_driver:HandoverDriver.join"
 
 
-class Deployment(Loop):
+class Deployment(SharedSocketBalancer):
     """Processes of one balancer with two servers and a discovery that can be silent."""
 
     def __init__(self, directory) -> None:
-        super().__init__()
-        self.directory = directory
         self._login_count = 0
-        self.servers = [LineServer(name) for name in ("s1", "s2")]
-        self.discovery = Discovery(self.scheduler)
-        for server in self.servers:
+        self._servers = [LineServer(name) for name in ("s1", "s2")]
+        self._loop = Loop()
+        self.discovery = Discovery(self._loop.scheduler)
+        for server in self._servers:
             host, _, port = server.address.rpartition(":")
             self.discovery.put(server.name, (host, int(port)))
-        self._discovery_port = self.discovery.listen()
-        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
-        self.processes: list[RealProcess] = []
-
-    def __enter__(self):
-        super().__enter__()
-        self.do(lambda: self.scheduler.spawn(self.discovery.accept_loop) and None)
-        return self
-
-    def __exit__(self, *error) -> None:
-        for process in self.processes:
-            process.__exit__(*error)
-        self._listener.close()
-        for server in self.servers:
-            server.__exit__(*error)
-        super().__exit__(*error)
-
-    def start(self, point: str = "") -> RealProcess:
-        """Starts the next process; returns it at once, or when it pauses at the point."""
-        process = RealProcess(
-            self.directory,
-            point,
-            inherited=self._listener,
-            discovery=f"127.0.0.1:{self._discovery_port}",
+        super().__init__(
+            directory,
+            discovery=f"127.0.0.1:{self.discovery.listen()}",
             known={
                 "index": 1,
                 "snapshot": True,
-                "endpoints": [server.entry() for server in self.servers],
+                "endpoints": [server.entry() for server in self._servers],
             },
             settings=SETTINGS,
         )
-        self.processes.append(process)
-        return process
 
-    def start_serving(self) -> RealProcess:
-        """Starts the next process; returns it once it accepts clients and the others don't."""
-        process = self.start()
-        process.wait_for_log(f"process {len(self.processes)} of this balancer is serving")
-        return process
+    def __enter__(self):
+        self._loop.__enter__()
+        self._loop.do(lambda: self._loop.scheduler.spawn(self.discovery.accept_loop))
+        return self
+
+    def __exit__(self, *error) -> None:
+        super().__exit__(*error)
+        for server in self._servers:
+            server.__exit__(*error)
+        self._loop.__exit__(*error)
 
     def log_in(self) -> list[str]:
         """Returns the servers of some logins."""
         found = []
         for _ in range(LOGINS):
             self._login_count += 1
-            with socket.create_connection(self._listener.getsockname(), 10) as client:
-                client.sendall(LOGIN % (b"c%d" % self._login_count))
+            with self.connect(LOGIN % (b"c%d" % self._login_count)) as client:
                 found.append(client.recv(100).decode().split()[-1])
         return found
 
     def change_and_fall_silent(self, status: str) -> None:
         """Changes the status of s1, waits until the balancer knows it, and silences discovery."""
-        self.do(lambda: self.discovery.set_status("s1", status))
+        self._loop.do(lambda: self.discovery.set_status("s1", status))
         wait_for(lambda: set(self.log_in()) == {"s2"})
         self.discovery.silent = True
 
